--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,133 @@
+// Package cloud speaks to the cloud that rents machines.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// Client is the adapter. Post delivers results to the core.
+type Client struct {
+	base  string
+	http  *http.Client
+	limit *rate.Limiter
+	post  func(any)
+}
+
+// New makes a client that keeps below the cloud's request rate.
+func New(addr string, rps float64, post func(any)) *Client {
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 3, MaxConnsPerHost: 3, DisableCompression: true,
+		}},
+		limit: rate.NewLimiter(rate.Limit(rps*0.85), max(1, int(rps))),
+		post:  post,
+	}
+}
+
+// Call runs one call of the core.
+func (c *Client) Call(q core.Cloud) {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		r := core.Clouded{ID: q.ID, Outcome: core.Refused}
+		if c.limit.Wait(ctx) == nil {
+			switch {
+			case q.Flavors:
+				var f wire.Flavors
+				r.Outcome = c.send(http.MethodGet, "/flavors", nil, &f)
+				r.Flavors = f.Rigs
+			case q.List:
+				r.Machines, r.Outcome = c.list(ctx)
+			case q.Hire != nil:
+				var h wire.Hosts
+				r.Outcome = c.send(http.MethodPost, "/hosts", q.Hire, &h)
+				r.Hosts = h.Hosts
+			case q.Return != nil:
+				r.Outcome = c.send(http.MethodPost, "/hosts/return", wire.Hosts{Hosts: q.Return}, nil)
+			}
+		}
+		c.post(r)
+	}()
+}
+
+func (c *Client) list(ctx context.Context) ([]wire.Machine, core.Outcome) {
+	var all []wire.Machine
+	from := ""
+	for {
+		q := url.Values{"limit": {"500"}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		var l wire.MachineList
+		if out := c.send(http.MethodGet, "/hosts?"+q.Encode(), nil, &l); out != core.OK {
+			return nil, out
+		}
+		all = append(all, l.Hosts...)
+		if !l.More || len(l.Hosts) == 0 {
+			return all, core.OK
+		}
+		from = l.Hosts[len(l.Hosts)-1].Name
+		if c.limit.Wait(ctx) != nil {
+			return nil, core.Refused
+		}
+	}
+}
+
+func (c *Client) send(method, path string, body, into any) core.Outcome {
+	var rd io.Reader
+	if body != nil {
+		b, err := wire.Encode(body)
+		if err != nil {
+			return core.Refused
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, c.base+path, rd)
+	if err != nil {
+		return core.Refused
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return core.Unknown
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return core.Unknown
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if into != nil {
+			if err := wire.Decode(b, into); err != nil {
+				return core.Unknown
+			}
+		}
+		return core.OK
+	case http.StatusServiceUnavailable:
+		var e wire.Error
+		if wire.Decode(b, &e) == nil && e.Error == "no capacity" {
+			return core.Full
+		}
+		return core.Refused
+	case http.StatusTooManyRequests, http.StatusBadRequest:
+		return core.Refused
+	}
+	return core.Unknown
+}
+
+// String names the client in logs.
+func (c *Client) String() string { return fmt.Sprintf("cloud at %s", c.base) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,252 @@
+// Package config reads the platform's settings file (JSON) and the operators'
+// own (INI) and checks both before anything is bound.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Label   string `json:"label"`
+	Zone    string `json:"site"`
+	Address string `json:"address"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name     string  `json:"name"`
+	Cores    float64 `json:"cpus"`
+	CoresMax float64 `json:"cpus_max"`
+	Cards    float64 `json:"gpus"`
+	CardsMax float64 `json:"gpus_max"`
+}
+
+// Objective restates an aim of the users.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+}
+
+// Settings is the platform's file. Fields that it may gain are ignored.
+type Settings struct {
+	Label       string `json:"label"`
+	Zone        string `json:"site"`
+	Bind        string `json:"bind"`
+	ClusterBind string `json:"cluster_listen"`
+	Peers       []Peer `json:"peers"`
+	External    struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"external"`
+	Deployment struct {
+		Size       int         `json:"size"`
+		Zones      []string    `json:"zones"`
+		Teams      []Team      `json:"teams"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
+			GangPeerS float64 `json:"gang_peer_s"`
+			CancelS   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Limits struct {
+			CoreShare float64 `json:"core_share"`
+			MemoryMB  float64 `json:"mem_mb"`
+			Sockets   int     `json:"fd_limit"`
+		} `json:"limits"`
+		ClockErrorMS float64 `json:"clock_error_ms"`
+	} `json:"deployment"`
+}
+
+// Operator is what the operators may set in their INI file.
+type Operator struct {
+	// IdleReturnS is how long a machine may stand idle before it is returned.
+	IdleReturnS float64 `ini:"idle_return_s"`
+	// SpareMachines are kept ready beyond the present need.
+	SpareMachines int `ini:"spare_machines"`
+	// MaxMachines bounds the fleet; 0 is no bound.
+	MaxMachines int `ini:"max_machines"`
+	// Preempt allows tasks to be stopped for guarantees and priorities.
+	Preempt bool `ini:"preempt"`
+}
+
+// DefaultOperator is used where the INI file is silent.
+func DefaultOperator() Operator {
+	return Operator{IdleReturnS: 40, SpareMachines: 1, Preempt: true}
+}
+
+// Load reads and checks the settings; the error names every fault.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var s Settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return &s, nil
+}
+
+// LoadOperator reads the operators' INI file; unknown names are faults.
+func LoadOperator(path string) (Operator, error) {
+	op := DefaultOperator()
+	if path == "" {
+		return op, nil
+	}
+	f, err := ini.Load(path)
+	if err != nil {
+		return op, fmt.Errorf("operator settings: %w", err)
+	}
+	var faults []error
+	known := map[string]bool{"idle_return_s": true, "spare_machines": true, "max_machines": true, "preempt": true}
+	for _, sec := range f.Sections() {
+		if sec.Name() != "placement" && !(sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0) {
+			faults = append(faults, fmt.Errorf("unknown section [%s]", sec.Name()))
+			continue
+		}
+		for _, k := range sec.Keys() {
+			if !known[k.Name()] {
+				faults = append(faults, fmt.Errorf("unknown setting %s", k.Name()))
+			}
+		}
+	}
+	if err := f.Section("placement").StrictMapTo(&op); err != nil {
+		faults = append(faults, err)
+	}
+	if op.IdleReturnS < 0 || op.SpareMachines < 0 || op.MaxMachines < 0 {
+		faults = append(faults, errors.New("settings of [placement] must not be negative"))
+	}
+	if len(faults) > 0 {
+		return op, fmt.Errorf("operator settings %s:\n%w", path, errors.Join(faults...))
+	}
+	return op, nil
+}
+
+// Margin is added to every bound that another machine's steady clock times:
+// a tenth of a percent covers two clocks drifting apart, and a second covers
+// timers that fire in steps and answers on their way.
+func Margin(d time.Duration) time.Duration { return d/1000 + time.Second }
+
+// Validity is how long an owner may act on its last proven renewal. After a
+// withdrawal that the owner can't hear of, its workers' leases end at the
+// latest a worker lease after this, which must stay below cancel_s. It also
+// stays below the worker lease, so that a peer can take over before the tasks
+// of an owner that vanished are lost.
+func (s *Settings) Validity() time.Duration {
+	w := s.Deployment.Workers
+	lease, cancel := Seconds(w.LeaseS), Seconds(w.CancelS)
+	room := cancel - lease - Margin(lease) - Seconds(w.ReportS)
+	return min(room, lease*3/4)
+}
+
+// Seconds turns a decimal number of seconds into a duration.
+func Seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+// Check names every fault of the settings.
+func (s *Settings) Check() error {
+	var faults []error
+	bad := func(format string, a ...any) { faults = append(faults, fmt.Errorf("  "+format, a...)) }
+	addr := func(name, v string) {
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			bad("%s: %q is not host:port", name, v)
+		}
+	}
+	if s.Label == "" {
+		bad("label is missing")
+	}
+	if s.Zone == "" {
+		bad("site is missing")
+	}
+	addr("bind", s.Bind)
+	addr("cluster_listen", s.ClusterBind)
+	addr("external.cloud", s.External.Cloud)
+	addr("external.state", s.External.State)
+	if s.Bind != "" && s.Bind == s.ClusterBind {
+		bad("bind and cluster_listen are the same address")
+	}
+	labels := map[string]bool{s.Label: true}
+	for i, p := range s.Peers {
+		if p.Label == "" || labels[p.Label] {
+			bad("peers[%d]: label %q is missing or taken", i, p.Label)
+		}
+		labels[p.Label] = true
+		addr(fmt.Sprintf("peers[%d].address", i), p.Address)
+	}
+	d := &s.Deployment
+	zones := map[string]bool{}
+	for _, z := range d.Zones {
+		zones[z] = true
+	}
+	if len(zones) == 0 {
+		bad("deployment.zones is empty")
+	} else if !zones[s.Zone] {
+		bad("site %q is not among deployment.zones", s.Zone)
+	}
+	for i, p := range s.Peers {
+		if len(zones) > 0 && !zones[p.Zone] {
+			bad("peers[%d]: site %q is not among deployment.zones", i, p.Zone)
+		}
+	}
+	if d.Size != 0 && d.Size != len(s.Peers)+1 {
+		bad("deployment.size is %d, but %d controllers are named", d.Size, len(s.Peers)+1)
+	}
+	teams := map[string]bool{}
+	for i, t := range d.Teams {
+		if t.Name == "" || teams[t.Name] {
+			bad("teams[%d]: name %q is missing or taken", i, t.Name)
+		}
+		teams[t.Name] = true
+		if t.Cores < 0 || t.Cards < 0 || t.CoresMax < 0 || t.CardsMax < 0 {
+			bad("team %s: amounts must not be negative", t.Name)
+		}
+		if t.CoresMax > 0 && t.Cores > t.CoresMax || t.CardsMax > 0 && t.Cards > t.CardsMax {
+			bad("team %s: the guarantee exceeds the limit", t.Name)
+		}
+	}
+	positive := func(name string, v float64) {
+		if !(v > 0) {
+			bad("%s must be positive, not %v", name, v)
+		}
+	}
+	positive("workers.report_s", d.Workers.ReportS)
+	positive("workers.lease_s", d.Workers.LeaseS)
+	positive("workers.cancel_s", d.Workers.CancelS)
+	positive("workers.gang_wait_s", d.Workers.GangWaitS)
+	positive("workers.gang_peer_s", d.Workers.GangPeerS)
+	positive("state.rps", d.State.RPS)
+	positive("state.write_rps", d.State.WriteRPS)
+	positive("state.value_kb", d.State.ValueKB)
+	positive("state.txn_ops", float64(d.State.TxnOps))
+	positive("cloud.rps", d.Cloud.RPS)
+	if d.Workers.LeaseS > 0 && d.Workers.CancelS > 0 && d.Workers.ReportS > 0 {
+		if v := s.Validity(); v < 2*Seconds(d.Workers.ReportS) {
+			bad("workers: cancel_s %v leaves no time beyond lease_s %v for an owner's validity", d.Workers.CancelS, d.Workers.LeaseS)
+		}
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/core/api.go
@@ -0,0 +1,278 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"micaport/internal/wire"
+)
+
+const second = time.Second
+
+// userState holds the requests of users that wait for the state service.
+type userState struct {
+	open map[uint64]*userOp
+}
+
+type userOp struct {
+	UserRequest
+	spec     *wire.Spec
+	fault    error
+	deadline Time
+	handed   bool // given to a peer
+}
+
+// Users wait 5 s for a submission and 2 s for a poll; answers come before.
+const (
+	writePatience = 4500 * time.Millisecond
+	pollPatience  = 1800 * time.Millisecond
+)
+
+func (n *Node) user(r UserRequest) {
+	op := &userOp{UserRequest: r, deadline: n.now + writePatience}
+	if n.users.open == nil {
+		n.users.open = map[uint64]*userOp{}
+	}
+	n.users.open[r.Req] = op
+	switch r.Kind {
+	case "submit":
+		op.Ref, op.spec, op.fault = wire.ParseSpec(r.Body)
+		if op.Ref == "" {
+			n.answer(op, 400, wire.Error{Error: op.fault.Error()})
+			return
+		}
+	case "poll":
+		op.deadline = n.now + pollPatience
+		fallthrough
+	case "withdraw":
+		if !wire.ValidRef(op.Ref) {
+			n.answer(op, 404, wire.Error{Error: "no such job"})
+			return
+		}
+	default:
+		n.answer(op, 404, wire.Error{Error: "no such request"})
+		return
+	}
+	// A final state never changes, so our copy may answer for it.
+	ix := n.refs.Find(op.Ref)
+	if ix >= 0 && n.jobs[ix].rec != nil && n.jobs[ix].rec.State != wire.Live {
+		n.answer(op, 200, n.reply(op, n.jobs[ix].rec))
+		return
+	}
+	if n.handOver(op) {
+		return
+	}
+	if op.Kind == "submit" && op.fault == nil && (ix < 0 || n.jobs[ix].rec == nil) {
+		n.create(op)
+		return
+	}
+	n.lookUp(op)
+}
+
+// reply is the body of a 200. Withdrawals and submissions leave out counts.
+func (n *Node) reply(op *userOp, r *wire.Job) any {
+	return status(op.Ref, r)
+}
+
+func (n *Node) answer(op *userOp, status int, body any) {
+	if _, ok := n.users.open[op.Req]; !ok {
+		return
+	}
+	delete(n.users.open, op.Req)
+	retry := 0
+	if status == 503 {
+		retry = 1
+	}
+	n.emit(Reply{Req: op.Req, Status: status, Body: body, RetryS: retry})
+}
+
+func (n *Node) later(op *userOp, why string) { n.answer(op, 503, wire.Error{Error: why}) }
+
+// handOver gives the request to a peer when we alone can't reach the state
+// service.
+func (n *Node) handOver(op *userOp) bool {
+	if n.storeOK || op.Forwarded || op.handed {
+		return false
+	}
+	for _, m := range n.cfg.Members {
+		p := n.peers[m.Label]
+		if p != nil && p.msg.StoreOK && n.now-p.at < 3*second {
+			op.handed = true
+			n.emit(Forward{Req: op.Req, To: m.Label, Call: wire.UserCall{Kind: op.Kind, Ref: op.Ref, Body: op.Body}})
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) forwarded(f Forwarded) {
+	op := n.users.open[f.Req]
+	if op == nil {
+		return
+	}
+	if f.Answer.Status == 0 {
+		n.later(op, "state service unavailable")
+		return
+	}
+	n.answer(op, f.Answer.Status, f.Answer.Body)
+}
+
+// retry tells whether a request that met trouble may be tried again in time.
+func (n *Node) retry(op *userOp, o Outcome) bool {
+	if _, open := n.users.open[op.Req]; !open {
+		return false
+	}
+	if o == Refused {
+		if !n.handOver(op) {
+			n.later(op, "state service unavailable")
+		}
+		return false
+	}
+	if n.now > op.deadline-second {
+		n.later(op, "state service unavailable")
+		return false
+	}
+	return true
+}
+
+// create commits a new job's record, after checking that it can ever run.
+func (n *Node) create(op *userOp) {
+	s := op.spec
+	if n.rigs == nil {
+		n.later(op, "machine types are not known yet")
+		return
+	}
+	if why := n.neverRuns(s); why != "" {
+		op.fault = fmt.Errorf("%s", why)
+		n.lookUp(op)
+		return
+	}
+	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
+	key := wire.JobKey(s.Ref)
+	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
+		switch c.Outcome {
+		case OK:
+			n.answer(op, 201, wire.JobStatus{Ref: s.Ref, Status: wire.StatusPending})
+		case Conflict:
+			n.lookUp(op)
+		default:
+			if n.retry(op, c.Outcome) {
+				n.create(op)
+			}
+		}
+	})
+}
+
+// lookUp reads the record and goes on by the kind of request.
+func (n *Node) lookUp(op *userOp) {
+	id := n.id(func(in any) {
+		g := in.(GotJob)
+		n.storeHeard(g.Outcome)
+		switch g.Outcome {
+		case OK:
+			if op.Kind == "withdraw" && g.Job.State == wire.Live {
+				n.withdraw(op, g)
+				return
+			}
+			n.answer(op, 200, n.reply(op, g.Job))
+		case Missing:
+			switch {
+			case op.Kind != "submit":
+				n.answer(op, 404, wire.Error{Error: "no such job"})
+			case op.fault == nil:
+				n.create(op)
+			case op.spec == nil:
+				n.answer(op, 400, wire.Error{Error: op.fault.Error()})
+			default:
+				n.answer(op, 422, wire.Error{Error: op.fault.Error()})
+			}
+		default:
+			if n.retry(op, g.Outcome) {
+				n.lookUp(op)
+			}
+		}
+	})
+	n.emit(Read{ID: id, Ref: op.Ref})
+}
+
+// withdraw marks the record; from this commit on no owner can place a task of
+// the job, as each placing is conditional on the record's revision.
+func (n *Node) withdraw(op *userOp, g GotJob) {
+	rec := clone(g.Job)
+	rec.State = wire.Withdrawn
+	tidy(rec)
+	key := wire.JobKey(op.Ref)
+	n.commit(User, []Cond{{key, g.Rev}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
+		switch c.Outcome {
+		case OK:
+			n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn, Done: countDone(rec.DoneSet)})
+		case Conflict:
+			if n.retry(op, OK) {
+				n.lookUp(op)
+			}
+		default:
+			if n.retry(op, c.Outcome) {
+				n.lookUp(op)
+			}
+		}
+	})
+}
+
+// expireUsers answers requests that the state service has left waiting.
+func (n *Node) expireUsers() {
+	var late []uint64
+	for req, op := range n.users.open {
+		if n.now >= op.deadline {
+			late = append(late, req)
+		}
+	}
+	sortIDs(late)
+	for _, req := range late {
+		n.later(n.users.open[req], "state service is slow")
+	}
+}
+
+// neverRuns says why a job can never run, or "".
+func (n *Node) neverRuns(s *wire.Spec) string {
+	var team *Team
+	for i := range n.cfg.Teams {
+		if n.cfg.Teams[i].Name == s.Team {
+			team = &n.cfg.Teams[i]
+		}
+	}
+	if team == nil {
+		return "unknown team"
+	}
+	fits := false
+	for i := range n.rigs {
+		if r := &n.rigs[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || contains(r.Zones, s.Zone)) {
+			fits = true
+		}
+	}
+	if !fits {
+		return "no allowed machine type fits a task"
+	}
+	count := 1.0
+	if s.Shape != wire.ShapeArray {
+		count = float64(s.Frames)
+	}
+	if over(s.Cores*count, team.CoresMax) || over(s.Cards*count, team.CardsMax) {
+		return "needs more than the team's limit"
+	}
+	return ""
+}
+
+const eps = 1e-6
+
+func over(need, limit float64) bool { return limit > 0 && need > limit+eps }
+
+func rigAllowed(s *wire.Spec, rig string) bool {
+	if s.RigsForbidAll {
+		return false
+	}
+	return len(s.Rigs) == 0 || contains(s.Rigs, rig)
+}
+
+func fitsRig(s *wire.Spec, r *wire.Flavor) bool {
+	return s.Cores <= r.Cores+eps && s.Cards <= r.Cards+eps && s.MemoryGB <= r.MemoryGB+eps
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,608 @@
+// Package core is the state machine of a controller. It has no input or
+// output of its own: Step takes an input and the steady time, and returns what
+// is to be sent, written and answered. The same inputs always give the same
+// effects.
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"micaport/internal/wire"
+)
+
+// Time is the steady clock, counted from the start of the process.
+type Time = time.Duration
+
+// Member is a controller of the deployment.
+type Member struct {
+	Label string
+	Zone  string
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name               string
+	Cores, Cards       float64
+	CoresMax, CardsMax float64
+}
+
+// Config is what the core needs of the settings.
+type Config struct {
+	Self    string
+	Zone    string
+	Life    string // tells this process from earlier ones of the same name
+	Members []Member
+	Zones   []string
+	Teams   []Team
+
+	Report, Lease, GangWait, GangPeer Time
+	Validity                          Time // how long an owner may act on a renewal
+	LeaderTTL                         Time
+	TxnOps, ValueBytes                int
+	ListLag                           Time
+
+	IdleReturn  Time
+	Spares      int
+	MaxMachines int
+	Preempt     bool
+
+	WallMS func() int64 // time of day, for ordering queues only
+	Seed   uint64
+}
+
+// Outcome of a request to the state service or the cloud.
+type Outcome int
+
+// Outcomes. Only OK, Conflict and Missing say for certain what happened;
+// Refused says that nothing did.
+const (
+	OK Outcome = iota
+	Conflict
+	Missing
+	Refused
+	Unknown
+	BadLease
+	Full // the cloud has no capacity
+)
+
+// Cond demands that a key is at a revision; 0 means absent.
+type Cond struct {
+	Key string
+	Rev uint64
+}
+
+// Write puts or drops a key. Value is a record of package wire.
+type Write struct {
+	Key   string
+	Value any // nil drops the key
+	Lease uint64
+}
+
+// Class orders requests when the budget is short.
+type Class int
+
+// Classes, most pressing first.
+const (
+	Vital Class = iota // renewals and claims
+	User               // submissions, withdrawals, polls
+	Bulk               // everything else
+)
+
+// Effects.
+type (
+	// Commit is a transaction on the state service.
+	Commit struct {
+		ID     uint64
+		If     []Cond
+		Writes []Write
+		Class  Class
+	}
+	// Read fetches a job's record.
+	Read struct {
+		ID  uint64
+		Ref string
+	}
+	// Lease creates (Lease 0) or extends a lease.
+	Lease struct {
+		ID    uint64
+		Lease uint64
+		TTL   Time
+	}
+	// Cloud is a call to the cloud; exactly one of the fields says which.
+	Cloud struct {
+		ID      uint64
+		Flavors bool
+		List    bool
+		Hire    *wire.Hire
+		Return  []string
+	}
+	// Send is a message to a peer.
+	Send struct {
+		To  string
+		Msg *wire.Gossip
+	}
+	// Forward hands a user's request to a peer; the answer comes as Forwarded.
+	Forward struct {
+		Req  uint64
+		To   string
+		Call wire.UserCall
+	}
+	// Reply answers a request of a user or a worker.
+	Reply struct {
+		Req    uint64
+		Status int
+		Body   any
+		RetryS int
+	}
+	// Log is a line for the log.
+	Log struct {
+		Level int // 0 debug, 1 info, 2 error
+		Text  string
+		Args  []any
+	}
+)
+
+// Inputs.
+type (
+	// Tick lets timers fire.
+	Tick struct{}
+	// Reported is a worker's report.
+	Reported struct {
+		Req    uint64
+		Report *wire.Report
+	}
+	// UserRequest is a user's request at the API, or one handed on by a peer.
+	UserRequest struct {
+		Req       uint64
+		Kind      string // submit, poll, withdraw
+		Ref       string
+		Body      []byte
+		Forwarded bool
+	}
+	// Forwarded is a peer's answer to Forward; Status 0 means none came.
+	Forwarded struct {
+		Req    uint64
+		Answer wire.UserAnswer
+	}
+	// Committed is the result of Commit.
+	Committed struct {
+		ID      uint64
+		Outcome Outcome
+		Rev     uint64
+	}
+	// GotJob is the result of Read.
+	GotJob struct {
+		ID      uint64
+		Outcome Outcome
+		Rev     uint64
+		Job     *wire.Job
+	}
+	// Leased is the result of Lease.
+	Leased struct {
+		ID      uint64
+		Outcome Outcome
+		Lease   uint64
+	}
+	// Changes are events of the watch, in order, up to revision Rev. Reset
+	// says that they are a full listing: everything else is absent.
+	Changes struct {
+		Reset  bool
+		Rev    uint64
+		Events []Event
+	}
+	// Clouded is the result of Cloud.
+	Clouded struct {
+		ID       uint64
+		Outcome  Outcome
+		Flavors  []wire.Flavor
+		Machines []wire.Machine
+		Hosts    []string
+	}
+	// Gossiped is a message from a peer.
+	Gossiped struct{ Msg *wire.Gossip }
+)
+
+// Event is a change of a key; Value is nil when it was dropped.
+type Event struct {
+	Key   string
+	Rev   uint64
+	Value any
+}
+
+// Node is the state machine of one controller.
+type Node struct {
+	cfg Config
+	rng *rand.Rand
+	now Time
+	out []any
+
+	nextID  uint64
+	pending map[uint64]func(any)
+
+	// Copy of the records.
+	loaded bool
+	rev    uint64
+	jobs   []*job
+	refs   wire.Interner
+	live   []int // jobs that are unfinished or still have tasks on machines
+	gangs  map[string]*gang
+	rigs   []wire.Flavor
+	rigsAt Time
+	rigRev uint64
+
+	parts  []*part
+	hosts  []*host
+	hostIx wire.Interner
+	images wire.Interner
+	peers  map[string]*peer
+
+	storeOK   bool
+	storeAt   Time // last proof that the state service serves us
+	partLease lease
+	leadLease lease
+	checkAt   Time
+	checks    []check
+	gossipAt  Time
+
+	owner     batch
+	ownerAt   Time
+	results   map[taskKey]result // what became of tasks, not yet in their records
+	stopJobs  map[int]bool       // gangs to be stopped in good order
+	grantSeen map[taskKey]Time
+
+	refusedSince map[string]Time
+
+	leader leaderState
+	leadAt Time
+	users  userState
+}
+
+type peer struct {
+	at  Time
+	msg *wire.Gossip
+}
+
+// lease is one lease on the state service.
+type lease struct {
+	id      uint64
+	ttl     Time
+	sent    Time // when the last successful renewal was sent
+	next    Time
+	waiting bool
+}
+
+// check is a compare-only commit that proves what we held when it was sent,
+// once our copy of the records has reached its revision.
+type check struct {
+	sent  Time
+	rev   uint64
+	parts map[int]uint64
+}
+
+// New makes a node. Its parts follow from the settings alone.
+func New(cfg Config) *Node {
+	n := &Node{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, peers: map[string]*peer{},
+		results: map[taskKey]result{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
+		refusedSince: map[string]Time{},
+	}
+	n.partLease.ttl = cfg.Validity
+	n.leadLease.ttl = cfg.LeaderTTL
+	n.parts = makeParts(cfg)
+	n.leader.reset()
+	n.owner.name = "owner"
+	return n
+}
+
+// Step takes one input and returns its effects.
+func (n *Node) Step(now Time, in any) []any {
+	n.now = max(n.now, now)
+	n.out = nil
+	switch x := in.(type) {
+	case Tick:
+	case Reported:
+		n.report(x)
+	case UserRequest:
+		n.user(x)
+	case Forwarded:
+		n.forwarded(x)
+	case Committed:
+		n.resolve(x.ID, x)
+	case GotJob:
+		n.resolve(x.ID, x)
+	case Leased:
+		n.resolve(x.ID, x)
+	case Clouded:
+		n.resolve(x.ID, x)
+	case Changes:
+		n.changes(x)
+	case Gossiped:
+		n.gossiped(x.Msg)
+	}
+	n.timers()
+	return n.out
+}
+
+// timers does whatever is due. It is cheap when nothing is.
+func (n *Node) timers() {
+	n.renew()
+	if !n.loaded {
+		return
+	}
+	n.claimParts()
+	n.claimLeader()
+	n.runChecks()
+	n.ownerTick()
+	n.leaderTick()
+	n.gossip(false)
+	n.expireUsers()
+}
+
+func (n *Node) emit(e any) { n.out = append(n.out, e) }
+
+func (n *Node) log(level int, text string, args ...any) {
+	n.emit(Log{Level: level, Text: text, Args: args})
+}
+
+func (n *Node) id(f func(any)) uint64 {
+	n.nextID++
+	n.pending[n.nextID] = f
+	return n.nextID
+}
+
+func (n *Node) resolve(id uint64, in any) {
+	if f := n.pending[id]; f != nil {
+		delete(n.pending, id)
+		f(in)
+	}
+}
+
+func (n *Node) commit(class Class, conds []Cond, writes []Write, f func(Committed)) {
+	id := n.id(func(in any) {
+		c := in.(Committed)
+		n.storeHeard(c.Outcome)
+		f(c)
+	})
+	n.emit(Commit{ID: id, If: conds, Writes: writes, Class: class})
+}
+
+// storeHeard notes whether the state service serves us.
+func (n *Node) storeHeard(o Outcome) {
+	switch o {
+	case OK, Conflict, Missing, BadLease:
+		n.storeOK, n.storeAt = true, n.now
+	default:
+		if n.now-n.storeAt > 3*time.Second {
+			n.storeOK = false
+		}
+	}
+}
+
+// renew keeps both leases alive and makes new ones when they have ended.
+func (n *Node) renew() {
+	for _, l := range []*lease{&n.partLease, &n.leadLease} {
+		if l.waiting || n.now < l.next {
+			continue
+		}
+		l.waiting = true
+		sent, was := n.now, l.id
+		id := n.id(func(in any) {
+			r := in.(Leased)
+			n.storeHeard(r.Outcome)
+			l.waiting = false
+			l.next = n.now + 500*time.Millisecond
+			switch r.Outcome {
+			case OK:
+				if was == 0 {
+					l.id = r.Lease
+				}
+				l.sent = sent
+				l.next = sent + min(l.ttl/4, 3*time.Second)
+			case Missing:
+				l.id, l.next = 0, n.now
+			}
+		})
+		n.emit(Lease{ID: id, Lease: was, TTL: l.ttl})
+	}
+}
+
+// changes takes events of the watch into our copy of the records.
+func (n *Node) changes(c Changes) {
+	if c.Reset {
+		seen := map[string]bool{}
+		for _, e := range c.Events {
+			seen[e.Key] = true
+		}
+		for _, j := range n.jobs {
+			if j.rec != nil && !seen[wire.JobKey(j.ref)] {
+				n.putJob(j.ref, nil, c.Rev)
+			}
+		}
+		for _, p := range n.parts {
+			if p.rec != nil && !seen[wire.PartKey(p.name)] {
+				n.putPart(p, nil, c.Rev)
+			}
+		}
+		for k := range n.gangs {
+			if !seen[k] {
+				delete(n.gangs, k)
+			}
+		}
+		if !seen[wire.LeaderKey] {
+			n.putLeader(nil, c.Rev)
+		}
+		n.loaded = true
+	}
+	for _, e := range c.Events {
+		n.change(e)
+	}
+	n.rev = max(n.rev, c.Rev)
+	n.leader.dirty = true
+	n.settleChecks()
+	n.owner.settle(n)
+	n.leader.batch.settle(n)
+}
+
+func (n *Node) change(e Event) {
+	switch v := e.Value.(type) {
+	case *wire.Job:
+		n.putJob(e.Key[len(wire.JobPrefix):], v, e.Rev)
+	case *wire.Part:
+		if p := n.partNamed(e.Key); p != nil {
+			n.putPart(p, v, e.Rev)
+		}
+	case *wire.Leader:
+		n.putLeader(v, e.Rev)
+	case *wire.Gang:
+		n.putGang(e.Key, v, e.Rev)
+	case *wire.Types:
+		if e.Rev >= n.rigRev {
+			n.rigRev = e.Rev
+			if n.rigs == nil {
+				n.rigs = v.Rigs
+			}
+		}
+	case nil:
+		switch {
+		case e.Key == wire.LeaderKey:
+			n.putLeader(nil, e.Rev)
+		case len(e.Key) > len(wire.PartPrefix) && e.Key[:len(wire.PartPrefix)] == wire.PartPrefix:
+			if p := n.partNamed(e.Key); p != nil {
+				n.putPart(p, nil, e.Rev)
+			}
+		case len(e.Key) > len(wire.GangPrefix) && e.Key[:len(wire.GangPrefix)] == wire.GangPrefix:
+			delete(n.gangs, e.Key)
+		}
+	}
+}
+
+// batch is a commit of several records that is retried until its outcome is
+// certain. Until then, and until our copy of the records has caught up with
+// it, no other batch of the same role is made; so a late copy of it can never
+// add to what a later one decides.
+type batch struct {
+	name    string
+	active  bool
+	waiting bool
+	unsure  bool // an earlier sending may yet be carried out
+	conds   []Cond
+	writes  []Write
+	jobs    []int
+	until   uint64 // revision that our copy must reach
+	retryAt Time
+	onOK    func()
+	gen     uint64
+}
+
+func (b *batch) start(n *Node, conds []Cond, writes []Write, jobs []int, onOK func()) {
+	b.gen++
+	b.active, b.waiting, b.unsure, b.until = true, false, false, 0
+	b.conds, b.writes, b.jobs, b.onOK = conds, writes, jobs, onOK
+	b.send(n)
+}
+
+func (b *batch) send(n *Node) {
+	b.waiting = true
+	gen := b.gen
+	n.commit(Bulk, b.conds, b.writes, func(c Committed) {
+		if gen != b.gen || !b.active {
+			return
+		}
+		b.waiting = false
+		switch c.Outcome {
+		case OK:
+			if b.onOK != nil {
+				b.onOK()
+			}
+			b.until = c.Rev
+		case Conflict:
+			n.log(0, "commit lost a race", "role", b.name, "rev", c.Rev)
+			b.until = max(c.Rev, 1)
+		case Refused, BadLease:
+			if !b.unsure {
+				b.active = false
+			}
+			b.retryAt = n.now + 400*time.Millisecond
+		default:
+			b.unsure = true
+			b.retryAt = n.now + 300*time.Millisecond
+		}
+		b.settle(n)
+	})
+}
+
+// settle ends the batch once our copy shows its outcome.
+func (b *batch) settle(n *Node) {
+	if b.active && b.until > 0 && n.rev >= b.until {
+		b.active = false
+	}
+}
+
+// ready tells whether a new batch may be made, and resends an unsure one.
+func (b *batch) ready(n *Node) bool {
+	if !b.active {
+		return n.now >= b.retryAt
+	}
+	if !b.waiting && b.until == 0 && n.now >= b.retryAt {
+		b.send(n)
+	}
+	return false
+}
+
+// drop forgets the batch; the role that made it has been lost, and with it
+// the condition under which the batch could still be carried out.
+func (b *batch) drop() {
+	b.gen++
+	b.active, b.waiting, b.retryAt = false, false, 0
+}
+
+// runChecks proves every couple of seconds that we still hold what we act on.
+func (n *Node) runChecks() {
+	if n.now < n.checkAt {
+		return
+	}
+	n.checkAt = n.now + min(n.cfg.Validity/8, 2*time.Second)
+	var conds []Cond
+	held := map[int]uint64{}
+	for i, p := range n.parts {
+		if n.holds(p) {
+			conds = append(conds, Cond{wire.PartKey(p.name), p.rev})
+			held[i] = p.rev
+		}
+	}
+	if len(conds) == 0 {
+		return
+	}
+	sent := n.now
+	n.commit(Vital, conds, nil, func(c Committed) {
+		if c.Outcome == OK {
+			n.checks = append(n.checks, check{sent: sent, rev: c.Rev, parts: held})
+			n.settleChecks()
+		}
+	})
+}
+
+// settleChecks lets proofs count whose revision our copy has reached. Without
+// this wait an owner whose watch hangs could go on keeping tasks alive whose
+// withdrawal it has not seen.
+func (n *Node) settleChecks() {
+	n.checks = slices.DeleteFunc(n.checks, func(c check) bool {
+		if c.rev > n.rev {
+			return false
+		}
+		for i, term := range c.parts {
+			if p := n.parts[i]; p.rev == term {
+				p.base = max(p.base, min(c.sent, n.partLease.sent))
+				p.proven = true
+			}
+		}
+		return true
+	})
+}
+
+// Ready tells whether user requests can be taken. It stays true through an
+// outage, since a removal from the balancer outlasts it.
+func (n *Node) Ready() bool { return true }
--- /dev/null
+++ b/internal/core/gang.go
@@ -0,0 +1,309 @@
+package core
+
+import (
+	"slices"
+	"sort"
+
+	"micaport/internal/wire"
+)
+
+// gang is our copy of the record of a gang attempt that spans parts.
+type gang struct {
+	key  string
+	ref  string
+	rec  *wire.Gang
+	rev  uint64
+	seen Time
+	// As an owner: the room held for each task, until the record settles.
+	held map[int]*host
+	// As the leader: the parts that agreed.
+	agreed map[int]bool
+	denied bool
+	// What the last gossip said of it.
+	told bool
+}
+
+func (n *Node) putGang(key string, rec *wire.Gang, rev uint64) {
+	g := n.gangs[key]
+	if g == nil {
+		ref := key[len(wire.GangPrefix):]
+		for i := len(ref) - 1; i >= 0; i-- {
+			if ref[i] == '/' {
+				ref = ref[:i]
+				break
+			}
+		}
+		g = &gang{key: key, ref: ref, seen: n.now, agreed: map[int]bool{}}
+		n.gangs[key] = g
+	}
+	if rev > g.rev {
+		g.rec, g.rev = rec, rev
+	}
+}
+
+func (n *Node) gangKeys() []string {
+	keys := make([]string, 0, len(n.gangs))
+	for k := range n.gangs {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// takeHolds subtracts the room that is pending for gangs.
+func (n *Node) takeHolds(slots []*slot) {
+	for _, key := range n.gangKeys() {
+		g := n.gangs[key]
+		j := n.jobNamed(g.ref)
+		if j == nil || j.rec == nil || j.rec.Spec == nil {
+			continue
+		}
+		for task, h := range g.held {
+			if slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool { return a.Task == task && a.Attempt == g.rec.Attempt && a.Host != "" }) {
+				continue // placed: counted by its record
+			}
+			for _, s := range slots {
+				if s.h == h {
+					s.take(j.rec.Spec)
+				}
+			}
+		}
+	}
+}
+
+func (n *Node) jobNamed(ref string) *job {
+	if ix := n.refs.Find(ref); ix >= 0 {
+		return n.jobs[ix]
+	}
+	return nil
+}
+
+// placeGang places a gang that fits this part as a whole, and holds room for
+// our share of a larger one.
+func (n *Node) placeGang(w *writer, j *job, slots []*slot) {
+	var mine []wire.Active
+	attempt := uint64(0)
+	for _, a := range j.rec.Active {
+		if a.Host == "" && n.valid(n.parts[a.Part]) {
+			mine = append(mine, a)
+			attempt = a.Attempt
+		}
+	}
+	g := n.gangs[wire.GangKey(j.ref, attempt)]
+	if g != nil {
+		n.ownerGang(w, j, g, mine, slots)
+		return
+	}
+	whole := !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool { return a.Part != mine[0].Part || a.Host != "" })
+	k := taskKey{j.ix, mine[0].Task, attempt}
+	if !whole {
+		// Its record is not known here yet, or has been settled and removed.
+		if n.outOfPatience(k) {
+			if rec := w.job(j); rec != nil {
+				n.giveBack(w, rec)
+				failGang(rec, attempt)
+			}
+		}
+		return
+	}
+	chosen := n.chooseAll(j, mine, slots)
+	if chosen == nil && !n.outOfPatience(k) {
+		return
+	}
+	rec := w.job(j)
+	if rec == nil {
+		return
+	}
+	w.parts[mine[0].Part] = true
+	if chosen == nil {
+		n.giveBack(w, rec)
+		return
+	}
+	for i := range mine {
+		chosen[i].take(j.rec.Spec)
+		setHost(rec, &mine[i], chosen[i].h)
+	}
+}
+
+// chooseAll finds machines for all the tasks or for none.
+func (n *Node) chooseAll(j *job, tasks []wire.Active, slots []*slot) []*slot {
+	var chosen []*slot
+	sp := j.rec.Spec
+	for _, a := range tasks {
+		s := n.best(j, slots, func(s *slot) bool { return s.part == a.Part })
+		if s == nil {
+			break
+		}
+		s.take(sp)
+		chosen = append(chosen, s)
+	}
+	for _, s := range chosen {
+		s.cores += sp.Cores
+		s.cards += sp.Cards
+		s.mem += sp.MemoryGB
+	}
+	if len(chosen) < len(tasks) {
+		return nil
+	}
+	return chosen
+}
+
+// ownerGang plays the owner's side of try, confirm and cancel.
+func (n *Node) ownerGang(w *writer, j *job, g *gang, mine []wire.Active, slots []*slot) {
+	switch g.rec.State {
+	case wire.GangTrying:
+		if g.held == nil {
+			chosen := n.chooseAll(j, mine, slots)
+			if chosen == nil {
+				if !g.denied {
+					g.denied = true
+					n.gossip(true)
+				}
+				break
+			}
+			g.held = map[int]*host{}
+			g.denied = false
+			for i, s := range chosen {
+				s.take(j.rec.Spec)
+				g.held[mine[i].Task] = s.h
+			}
+			n.gossip(true)
+		}
+	case wire.GangConfirmed:
+		k := taskKey{j.ix, mine[0].Task, g.rec.Attempt}
+		hosts := make([]*host, len(mine))
+		ok := true
+		for i, a := range mine {
+			h := g.held[a.Task]
+			if h == nil || !n.usable(h) {
+				ok = false
+				break
+			}
+			hosts[i] = h
+		}
+		if !ok {
+			// The hold went with its machine or its owner; find room anew.
+			g.held = nil
+			if chosen := n.chooseAll(j, mine, slots); chosen != nil {
+				ok = true
+				for i, s := range chosen {
+					s.take(j.rec.Spec)
+					hosts[i] = s.h
+				}
+			}
+		}
+		if !ok && !n.outOfPatience(k) {
+			return
+		}
+		rec := w.job(j)
+		if rec == nil {
+			return
+		}
+		for _, a := range mine {
+			w.parts[a.Part] = true
+		}
+		if !ok {
+			n.giveBack(w, rec)
+			failGang(rec, g.rec.Attempt)
+			return
+		}
+		for i := range mine {
+			setHost(rec, &mine[i], hosts[i])
+		}
+	}
+}
+
+// settleGangs lets a pending hold cancel itself: at its deadline the owner
+// marks the record dropped, conditional on nobody having confirmed it, and
+// only when our copy shows it dropped does the hold go.
+func (n *Node) settleGangs(w *writer) {
+	for _, key := range n.gangKeys() {
+		g := n.gangs[key]
+		switch g.rec.State {
+		case wire.GangDropped:
+			g.held = nil
+		case wire.GangTrying:
+			if n.now-g.seen > 3*n.cfg.Report && slices.ContainsFunc(g.rec.Parts, func(p int) bool { return n.valid(n.parts[p]) }) {
+				rec := *g.rec
+				rec.State = wire.GangDropped
+				w.also(Write{Key: g.key, Value: &rec}, Cond{g.key, g.rev})
+			}
+		}
+	}
+}
+
+// holdsToTell lists what we, as owners, say about gangs being tried.
+func (n *Node) holdsToTell() []wire.Hold {
+	var out []wire.Hold
+	for _, key := range n.gangKeys() {
+		g := n.gangs[key]
+		if g.rec.State != wire.GangTrying || (g.held == nil && !g.denied) {
+			continue
+		}
+		for _, p := range g.rec.Parts {
+			if n.valid(n.parts[p]) {
+				out = append(out, wire.Hold{Ref: g.ref, Attempt: g.rec.Attempt, Part: p, OK: g.held != nil})
+			}
+		}
+	}
+	return out
+}
+
+// hearHolds takes owners' answers; only the leader acts on them.
+func (n *Node) hearHolds(holds []wire.Hold) {
+	for _, h := range holds {
+		if g := n.gangs[wire.GangKey(h.Ref, h.Attempt)]; g != nil && g.rec.State == wire.GangTrying {
+			if h.OK {
+				g.agreed[h.Part] = true
+			} else {
+				g.denied = true
+			}
+			n.leader.dirty = true
+		}
+	}
+}
+
+// leadGangs confirms gangs whose owners all agree, drops those that one
+// denies, and removes the records of settled ones.
+func (n *Node) leadGangs(w *writer) {
+	n.hearHolds(n.holdsToTell())
+	for _, key := range n.gangKeys() {
+		g := n.gangs[key]
+		j := n.jobNamed(g.ref)
+		unplaced := j != nil && j.rec != nil && slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
+			return a.Attempt == g.rec.Attempt && a.Host == ""
+		})
+		switch g.rec.State {
+		case wire.GangTrying:
+			all := true
+			for _, p := range g.rec.Parts {
+				all = all && g.agreed[p]
+			}
+			rec := *g.rec
+			switch {
+			case all && unplaced && j.rec.State == wire.Live:
+				rec.State = wire.GangConfirmed
+			case g.denied || !unplaced || n.now-g.seen > 4*n.cfg.Report:
+				rec.State = wire.GangDropped
+			default:
+				continue
+			}
+			w.also(Write{Key: g.key, Value: &rec}, Cond{g.key, g.rev})
+		case wire.GangDropped:
+			if unplaced {
+				rec := w.job(j)
+				if rec == nil {
+					return
+				}
+				rec.Active = slices.DeleteFunc(rec.Active, func(a wire.Active) bool {
+					return a.Attempt == g.rec.Attempt && a.Host == ""
+				})
+			}
+			w.also(Write{Key: g.key}, Cond{g.key, g.rev})
+		case wire.GangConfirmed:
+			if !unplaced {
+				w.also(Write{Key: g.key}, Cond{g.key, g.rev})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/gossip.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"slices"
+
+	"micaport/internal/wire"
+)
+
+// gossip tells the peers what we own and what room there is.
+func (n *Node) gossip(now bool) {
+	if now {
+		n.gossipAt = 0
+		return
+	}
+	if n.now < n.gossipAt {
+		return
+	}
+	n.gossipAt = n.now + second
+	m := &wire.Gossip{
+		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, Rev: n.rev,
+		Holds: n.holdsToTell(),
+	}
+	for _, p := range n.parts {
+		if n.valid(p) {
+			m.Parts = append(m.Parts, p.ix)
+			m.Terms = append(m.Terms, p.rev)
+		}
+	}
+	m.Hosts = n.ownInfo()
+	if n.leads() {
+		m.Retire = n.leader.retireList(n)
+		m.Returned = n.leader.returned
+		for _, key := range n.gangKeys() {
+			if g := n.gangs[key]; g.rec.State != wire.GangDropped {
+				m.Tries = append(m.Tries, wire.Hold{Ref: g.ref, Attempt: g.rec.Attempt, OK: g.rec.State == wire.GangConfirmed})
+			}
+		}
+		n.heedLeader(m)
+	}
+	for _, p := range n.cfg.Members {
+		if p.Label != n.cfg.Self {
+			n.emit(Send{To: p.Label, Msg: m})
+		}
+	}
+}
+
+// ownInfo describes the machines of our parts, and keeps the same view that
+// the peers get of them.
+func (n *Node) ownInfo() []wire.HostInfo {
+	var out []wire.HostInfo
+	fresh, all := map[int]int{}, map[int]int{}
+	for _, h := range n.hosts {
+		if h.part >= 0 && n.valid(n.parts[h.part]) && h.term == n.parts[h.part].rev && !h.returned {
+			all[h.part]++
+			if n.now-h.heard < 2*n.cfg.Report {
+				fresh[h.part]++
+			}
+		}
+	}
+	for _, h := range n.hosts {
+		if h.part < 0 || h.returned {
+			continue
+		}
+		p := n.parts[h.part]
+		if !n.valid(p) || h.term != p.rev {
+			continue
+		}
+		silent := n.now - h.heard
+		if silent > 3*n.cfg.Lease && len(h.jobs) == 0 {
+			continue
+		}
+		i := wire.HostInfo{
+			Name: h.name, Rig: h.rig, Zone: h.zone, Spot: h.spot, SilentS: silent.Seconds(),
+			Leaving: h.leavingAt > 0, Retiring: h.retiring, Sick: h.sick, Errors: len(h.errJobs),
+			Lost: silent > 3*n.cfg.Report+second && 2*fresh[h.part] >= all[h.part],
+		}
+		for im := range n.images.Len() {
+			if h.images[im] {
+				i.Images = append(i.Images, n.images.Name(im))
+			}
+		}
+		h.info, h.infoAt = i, n.now
+		out = append(out, i)
+	}
+	return out
+}
+
+// gossiped takes a peer's message.
+func (n *Node) gossiped(m *wire.Gossip) {
+	if m == nil || !slices.ContainsFunc(n.cfg.Members, func(x Member) bool { return x.Label == m.From }) || m.From == n.cfg.Self {
+		return
+	}
+	was := n.peers[m.From]
+	if !m.StoreOK && (was == nil || was.msg.StoreOK) {
+		n.refusedSince[m.From] = n.now
+	}
+	n.peers[m.From] = &peer{at: n.now, msg: m}
+	for i := range m.Hosts {
+		info := &m.Hosts[i]
+		part := n.partOf(info.Zone, info.Name)
+		if part < 0 {
+			continue
+		}
+		h := n.hostOf(info.Name)
+		if n.holds(n.parts[part]) {
+			continue // we know better
+		}
+		h.part, h.rig, h.zone, h.spot = part, info.Rig, info.Zone, info.Spot
+		h.info, h.infoAt = *info, n.now-Time(info.SilentS*float64(second))
+		h.retiring = info.Retiring
+		for _, im := range info.Images {
+			h.images[n.images.Of(im)] = true
+		}
+	}
+	n.hearHolds(m.Holds)
+	// A newer term than our copy shows means that we have lost the part and
+	// can't see it: we are refused by the state service.
+	for i, ix := range m.Parts {
+		if ix >= 0 && ix < len(n.parts) && i < len(m.Terms) && m.Terms[i] > n.parts[ix].rev {
+			n.putPart(n.parts[ix], &wire.Part{Owner: m.From, Life: m.Life}, m.Terms[i])
+		}
+	}
+	n.heedLeader(m)
+	n.leader.dirty = true
+}
+
+// heedLeader does what the leader asks of owners.
+func (n *Node) heedLeader(m *wire.Gossip) {
+	if n.leader.rec == nil || n.leader.rec.Node != m.From {
+		return
+	}
+	for _, name := range m.Returned {
+		if ix := n.hostIx.Find(name); ix >= 0 {
+			n.hosts[ix].returned = true
+		}
+	}
+	for _, h := range n.hosts {
+		if h.part >= 0 && n.holds(n.parts[h.part]) {
+			h.retiring = h.retiring && contains(m.Retire, h.name)
+		}
+	}
+	for _, name := range m.Retire {
+		if ix := n.hostIx.Find(name); ix >= 0 {
+			h := n.hosts[ix]
+			if h.part >= 0 && n.holds(n.parts[h.part]) && len(h.jobs) == 0 && len(h.tasks) == 0 {
+				h.retiring = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/job.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"slices"
+	"sort"
+
+	"micaport/internal/wire"
+)
+
+// job is our copy of a job's record, with what follows from it.
+type job struct {
+	ix    int
+	ref   string
+	rec   *wire.Job
+	rev   uint64
+	image int
+	prio  int
+	// Leader's memory; lost without harm.
+	blockedSince Time
+	seenAt       Time
+	notBefore    Time
+	errorsSeen   int
+	changed      Time // when our copy last changed
+	within       bool // inside its team's guarantee
+}
+
+func priority(urgency string) int {
+	switch urgency {
+	case "critical":
+		return 3
+	case "high":
+		return 2
+	case "standard":
+		return 1
+	}
+	return 0
+}
+
+// putJob takes a record, or its absence, into our copy.
+func (n *Node) putJob(ref string, rec *wire.Job, rev uint64) {
+	ix := n.refs.Of(ref)
+	if ix == len(n.jobs) {
+		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1, seenAt: n.now})
+	}
+	j := n.jobs[ix]
+	if rev <= j.rev {
+		return
+	}
+	if j.rec != nil {
+		n.unindex(j)
+	}
+	j.rec, j.rev, j.changed = rec, rev, n.now
+	if rec == nil {
+		n.setLive(j, false)
+		return
+	}
+	if rec.Spec != nil {
+		j.image = n.images.Of(rec.Spec.Image)
+		j.prio = priority(rec.Spec.Urgency)
+	}
+	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
+		// A job that fails everywhere waits longer each time.
+		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
+	}
+	j.errorsSeen = rec.Errors
+	n.index(j)
+	n.setLive(j, rec.State == wire.Live || len(rec.Active) > 0)
+}
+
+func (n *Node) setLive(j *job, on bool) {
+	at, found := slices.BinarySearch(n.live, j.ix)
+	if on && !found {
+		n.live = slices.Insert(n.live, at, j.ix)
+	} else if !on && found {
+		n.live = slices.Delete(n.live, at, at+1)
+	}
+}
+
+// index keeps, for every machine, the jobs that have tasks on it.
+func (n *Node) index(j *job) {
+	for _, a := range j.rec.Active {
+		if a.Host != "" {
+			h := n.hostOf(a.Host)
+			h.part = a.Part
+			if at, found := slices.BinarySearch(h.jobs, j.ix); !found {
+				h.jobs = slices.Insert(h.jobs, at, j.ix)
+			}
+		}
+	}
+}
+
+func (n *Node) unindex(j *job) {
+	for _, a := range j.rec.Active {
+		if a.Host != "" {
+			h := n.hostOf(a.Host)
+			if at, found := slices.BinarySearch(h.jobs, j.ix); found {
+				h.jobs = slices.Delete(h.jobs, at, at+1)
+			}
+		}
+	}
+}
+
+// clone copies a record so that it can be changed.
+func clone(r *wire.Job) *wire.Job {
+	c := *r
+	c.Active = slices.Clone(r.Active)
+	c.DoneSet = slices.Clone(r.DoneSet)
+	c.Avoid = slices.Clone(r.Avoid)
+	return &c
+}
+
+// addDone adds a task to sorted half-open ranges.
+func addDone(set [][2]int, task int) [][2]int {
+	i := sort.Search(len(set), func(i int) bool { return set[i][1] >= task })
+	if i < len(set) && set[i][0] <= task && task < set[i][1] {
+		return set
+	}
+	switch {
+	case i < len(set) && set[i][1] == task:
+		set[i][1]++
+		if i+1 < len(set) && set[i+1][0] == task+1 {
+			set[i][1] = set[i+1][1]
+			set = slices.Delete(set, i+1, i+2)
+		}
+	case i < len(set) && set[i][0] == task+1:
+		set[i][0]--
+	default:
+		set = slices.Insert(set, i, [2]int{task, task + 1})
+	}
+	return set
+}
+
+func isDone(set [][2]int, task int) bool {
+	i := sort.Search(len(set), func(i int) bool { return set[i][1] > task })
+	return i < len(set) && set[i][0] <= task
+}
+
+func countDone(set [][2]int) int {
+	c := 0
+	for _, r := range set {
+		c += r[1] - r[0]
+	}
+	return c
+}
+
+// tidy closes a finished record: the state follows from the done tasks, and
+// the specification is dropped once no task charges the team any more.
+func tidy(r *wire.Job) {
+	if r.State == wire.Live && countDone(r.DoneSet) == r.Frames {
+		r.State = wire.Done
+	}
+	if r.State != wire.Live && len(r.Active) == 0 {
+		r.Spec, r.Avoid, r.Errors = nil, nil, 0
+		if r.State == wire.Done {
+			r.DoneSet = nil
+		}
+	}
+}
+
+// status is what a user is told.
+func status(ref string, r *wire.Job) wire.JobStatus {
+	s := wire.JobStatus{Ref: ref, Status: wire.StatusPending, Done: countDone(r.DoneSet)}
+	switch r.State {
+	case wire.Done:
+		return wire.JobStatus{Ref: ref, Status: wire.StatusDone, Done: r.Frames}
+	case wire.Withdrawn:
+		s.Status = wire.StatusWithdrawn
+		return s
+	}
+	for _, a := range r.Active {
+		if a.Host != "" {
+			s.Running++
+		}
+	}
+	if s.Running > 0 {
+		s.Status = wire.StatusRunning
+	}
+	return s
+}
+
+// pendingTasks lists up to limit tasks that are neither done nor active,
+// lowest first, so that the done set stays a few ranges.
+func pendingTasks(r *wire.Job, limit int) []int {
+	if limit <= 0 || r.State != wire.Live {
+		return nil
+	}
+	busy := make(map[int]bool, len(r.Active))
+	for _, a := range r.Active {
+		busy[a.Task] = true
+	}
+	var out []int
+	next, ri := 0, 0
+	for next < r.Frames && len(out) < limit {
+		if ri < len(r.DoneSet) && r.DoneSet[ri][0] <= next {
+			next = r.DoneSet[ri][1]
+			ri++
+			continue
+		}
+		if !busy[next] {
+			out = append(out, next)
+		}
+		next++
+	}
+	return out
+}
+
+// activeLimit bounds the active tasks of one record by the size of a value,
+// with room for the rest of the record.
+func (n *Node) activeLimit() int {
+	const perTask = 60 // generous, in JSON form, with its share of the done set
+	return max(1, (n.cfg.ValueBytes-2000)/perTask)
+}
--- /dev/null
+++ b/internal/core/part.go
@@ -0,0 +1,773 @@
+package core
+
+import (
+	"hash/fnv"
+	"slices"
+	"sort"
+
+	"micaport/internal/wire"
+)
+
+// part is a share of a zone's machines.
+type part struct {
+	ix   int
+	name string
+	zone string
+	home string // the controller meant to own it; "" in a zone without one
+	rec  *wire.Part
+	rev  uint64 // of the claim: the term and the workers' token
+
+	since  Time // when our copy last saw it change hands or go
+	proven bool // a check has covered this term
+	base   Time // our validity counts from here
+	bound  Time // no earlier owner can have answered a report sent after this
+}
+
+// makeParts splits the machines of each zone among its controllers.
+func makeParts(cfg Config) []*part {
+	var ps []*part
+	zones := slices.Clone(cfg.Zones)
+	sort.Strings(zones)
+	members := slices.Clone(cfg.Members)
+	sort.Slice(members, func(i, k int) bool { return members[i].Label < members[k].Label })
+	for _, z := range slices.Compact(zones) {
+		before := len(ps)
+		for _, m := range members {
+			if m.Zone == z {
+				ps = append(ps, &part{ix: len(ps), name: z + "/" + m.Label, zone: z, home: m.Label})
+			}
+		}
+		if len(ps) == before {
+			ps = append(ps, &part{ix: len(ps), name: z + "/-", zone: z})
+		}
+	}
+	return ps
+}
+
+// partOf hashes a machine to a part of its zone, or gives -1.
+func (n *Node) partOf(zone, name string) int {
+	first, count := -1, 0
+	for _, p := range n.parts {
+		if p.zone == zone {
+			if first < 0 {
+				first = p.ix
+			}
+			count++
+		}
+	}
+	if first < 0 {
+		return -1
+	}
+	f := fnv.New32a()
+	f.Write([]byte(name))
+	// Names differ in their last digits; mix so that those decide evenly.
+	v := f.Sum32()
+	v ^= v >> 15
+	v *= 0x2c1b3c6d
+	v ^= v >> 12
+	return first + int(v%uint32(count))
+}
+
+func (n *Node) partNamed(key string) *part {
+	for _, p := range n.parts {
+		if wire.PartKey(p.name) == key {
+			return p
+		}
+	}
+	return nil
+}
+
+func (n *Node) putPart(p *part, rec *wire.Part, rev uint64) {
+	if rev <= p.rev {
+		return
+	}
+	was := p.rec
+	p.rec, p.rev, p.since = rec, rev, n.now
+	p.proven, p.base = false, 0
+	if rec != nil && rec.Owner == n.cfg.Self && rec.Life == n.cfg.Life {
+		// An owner whose key went with its lease had stopped before, and an
+		// earlier life of ours is dead. One that we took over by a new claim
+		// may still answer until its validity has run out.
+		p.bound = n.now
+		if was != nil && was.Owner != n.cfg.Self {
+			p.bound += n.cfg.Validity
+		}
+		n.checkAt = 0
+		n.log(1, "part claimed", "part", p.name, "term", rev)
+	} else if was != nil && was.Owner == n.cfg.Self && was.Life == n.cfg.Life {
+		n.log(1, "part lost", "part", p.name)
+	}
+}
+
+// holds tells whether our copy says that the part is ours.
+func (n *Node) holds(p *part) bool {
+	return p.rec != nil && p.rec.Owner == n.cfg.Self && p.rec.Life == n.cfg.Life
+}
+
+// valid tells whether we may act as the owner now.
+func (n *Node) valid(p *part) bool {
+	return n.holds(p) && p.proven && n.now < p.base+n.cfg.Validity
+}
+
+// claimParts takes parts that nobody holds, and those whose owner can't serve
+// their workers.
+func (n *Node) claimParts() {
+	if n.partLease.id == 0 || n.now-n.partLease.sent > n.partLease.ttl/2 {
+		return
+	}
+	for _, p := range n.parts {
+		if n.holds(p) || n.now < p.claimAt() {
+			continue
+		}
+		if !n.mayClaim(p) {
+			continue
+		}
+		p.since = max(p.since, n.now) // wait before the next try
+		rev := p.rev
+		if p.rec == nil {
+			rev = 0
+		}
+		key := wire.PartKey(p.name)
+		n.commit(Vital, []Cond{{key, rev}},
+			[]Write{{Key: key, Value: &wire.Part{Owner: n.cfg.Self, Life: n.cfg.Life}, Lease: n.partLease.id}},
+			func(c Committed) {
+				if c.Outcome == BadLease {
+					n.partLease.id, n.partLease.next = 0, n.now
+				}
+			})
+	}
+}
+
+// claimAt spaces claims of one part.
+func (p *part) claimAt() Time { return p.since + 300*1e6 }
+
+func (n *Node) mayClaim(p *part) bool {
+	waited := n.now - p.since
+	if p.rec == nil {
+		switch {
+		case p.home == n.cfg.Self:
+			return true
+		case p.zone == n.cfg.Zone:
+			return waited > 2*second
+		}
+		return waited > 4*second+Time(n.rank())*second
+	}
+	if p.rec.Owner == n.cfg.Self {
+		return true // an earlier life of ours
+	}
+	// Its workers come here although we send them to their owner.
+	var first Time
+	bounced := 0
+	for _, h := range n.hosts {
+		if h.part == p.ix && h.bounceAt > 0 && n.now-h.bounceAt < 12*second {
+			bounced++
+			if first == 0 || h.bounceAt < first {
+				first = h.bounceAt
+			}
+		}
+	}
+	owner := n.peers[p.rec.Owner]
+	deaf := owner == nil || n.now-owner.at > 5*second
+	refused := owner != nil && !deaf && !owner.msg.StoreOK
+	wait := 0 * second
+	if p.zone != n.cfg.Zone {
+		wait = 4 * second
+	}
+	switch {
+	case bounced >= 2 && n.now-first > 2*second+wait:
+		n.log(1, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
+		return true
+	case deaf && bounced >= 1 && waited > 5*second+wait:
+		n.log(1, "taking part over: owner is silent", "part", p.name, "owner", p.rec.Owner)
+		return true
+	case refused && n.storeOK && n.now-n.storeAt < 2*second && n.peerRefusedFor(p.rec.Owner) > 4*second+wait:
+		n.log(1, "taking part over: owner is refused by the state service", "part", p.name, "owner", p.rec.Owner)
+		return true
+	}
+	// The home controller is back and well: it stands beside the workers.
+	home := p.home == n.cfg.Self && waited > 60*second && n.storeOK
+	return home && owner != nil && !deaf
+}
+
+func (n *Node) peerRefusedFor(label string) Time {
+	p := n.peers[label]
+	if p == nil || p.msg.StoreOK {
+		return 0
+	}
+	return n.now - n.refusedSince[label]
+}
+
+// rank orders the controllers, so that two don't claim at once.
+func (n *Node) rank() int {
+	r := 0
+	for _, m := range n.cfg.Members {
+		if m.Label < n.cfg.Self {
+			r++
+		}
+	}
+	return r
+}
+
+// report answers a worker.
+func (n *Node) report(in Reported) {
+	r := in.Report
+	pi := n.partOf(r.Zone, r.Host)
+	if pi < 0 || r.Host == "" {
+		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "unknown zone"}})
+		return
+	}
+	p := n.parts[pi]
+	h := n.hostOf(r.Host)
+	h.part, h.rig, h.zone, h.spot = pi, r.Rig, r.Zone, r.Spot
+	if !n.loaded || !n.valid(p) || r.Token > p.rev {
+		n.redirect(in.Req, p, h)
+		return
+	}
+	if h.session > r.Session || h.session == r.Session && h.seq >= r.Seq {
+		// A late copy; its worker has long given it up.
+		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "late report"}})
+		return
+	}
+	if h.term != p.rev {
+		h.term, h.answered = p.rev, 0
+		h.started = map[taskKey]uint64{}
+	}
+	if h.session != r.Session {
+		clear(h.started)
+	}
+	h.session, h.seq, h.token, h.heard = r.Session, r.Seq, r.Token, n.now
+	h.bounceAt, h.redirectAt = 0, 0
+	if r.RecallS != nil {
+		h.leavingAt = n.now + Time(*r.RecallS*float64(second))
+	} else {
+		h.leavingAt = 0
+	}
+	orders := n.reconcile(p, h, r)
+	h.answered = n.now
+	n.emit(Reply{Req: in.Req, Status: 200, Body: wire.ReportReply{Token: p.rev, Orders: orders}})
+}
+
+func (n *Node) redirect(req uint64, p *part, h *host) {
+	if n.loaded && p.rec != nil && p.rec.Owner != n.cfg.Self {
+		if d := n.now - h.redirectAt; h.redirectAt > 0 && d > second*7/10 && d < 15*second {
+			h.bounceAt = n.now
+		}
+		h.redirectAt = n.now
+		n.emit(Reply{Req: req, Status: 421, Body: wire.Redirect{Owner: p.rec.Owner}})
+		return
+	}
+	n.emit(Reply{Req: req, Status: 503, Body: wire.Error{Error: "no owner"}})
+}
+
+// active finds a placed task in our copy of the records.
+func (n *Node) active(k taskKey, hostName string) *wire.Active {
+	if k.job < 0 || n.jobs[k.job].rec == nil {
+		return nil
+	}
+	list := n.jobs[k.job].rec.Active
+	for i := range list {
+		if a := &list[i]; a.Task == k.task && a.Attempt == k.attempt && a.Host == hostName {
+			return a
+		}
+	}
+	return nil
+}
+
+// result is what became of a task, to be written to its record.
+type result struct {
+	host  string
+	cause string // an exit cause, or "lost"
+}
+
+const causeLost = "lost"
+
+// reconcile compares a report with the records and gives the orders that
+// bring the machine in line.
+func (n *Node) reconcile(p *part, h *host, r *wire.Report) []wire.Order {
+	var orders []wire.Order
+	// Only a worker that has seen our token can't be told to start anything
+	// by an earlier owner any more.
+	fresh := r.Token == p.rev
+	reported := make(map[taskKey]bool, len(r.Tasks))
+	h.tasks = make(map[taskKey]string, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		ref, task, err := wire.SplitTask(t.Task)
+		if err != nil {
+			continue
+		}
+		k := taskKey{n.refs.Find(ref), task, t.Attempt}
+		reported[k] = true
+		a := n.active(k, h.name)
+		if t.State == wire.TaskEnded {
+			if a == nil {
+				// The record has let go of this attempt, so it can't be
+				// started again and may be forgotten by the worker.
+				orders = append(orders, wire.Order{Op: wire.OrderClear, Task: t.Task, Attempt: t.Attempt})
+			} else {
+				n.taskEnded(h, k, t)
+			}
+			continue
+		}
+		if a == nil {
+			orders = append(orders, wire.Order{Op: wire.OrderKill, Task: t.Task, Attempt: t.Attempt})
+			continue
+		}
+		h.tasks[k] = t.State
+		j := n.jobs[k.job]
+		if t.State != wire.TaskFetching {
+			h.images[j.image] = true
+		}
+		switch grace, kill := n.killGrace(h, j, a, t); {
+		case kill:
+			orders = append(orders, wire.Order{Op: wire.OrderKill, Task: t.Task, Attempt: t.Attempt, GraceS: grace})
+		}
+	}
+	for _, jx := range h.jobs {
+		j := n.jobs[jx]
+		for i := range j.rec.Active {
+			a := &j.rec.Active[i]
+			k := taskKey{jx, a.Task, a.Attempt}
+			if a.Host != h.name || reported[k] {
+				continue
+			}
+			if _, over := n.results[k]; over {
+				continue
+			}
+			gone := fresh && r.Seq > h.started[k]
+			switch {
+			case r.Session > a.Session:
+				n.results[k] = result{h.name, causeLost}
+			case j.rec.State != wire.Live || a.Stop != wire.Keep || h.leavingAt > 0:
+				if gone {
+					n.results[k] = result{h.name, causeLost}
+				}
+			case n.holdBack(j, a):
+			default:
+				orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, a.Task), Attempt: a.Attempt})
+				h.started[k] = r.Seq
+			}
+		}
+	}
+	return orders
+}
+
+// killGrace decides whether a task on the machine has to stop, and with how
+// much time to save.
+func (n *Node) killGrace(h *host, j *job, a *wire.Active, t *wire.Task) (float64, bool) {
+	sp := j.rec.Spec
+	switch {
+	case j.rec.State == wire.Withdrawn, a.Stop == wire.Abandon:
+		return 0, true
+	case j.rec.State != wire.Live:
+		return 0, false
+	case t.State == wire.TaskSaving:
+		return 0, false
+	case a.Stop == wire.Preempt:
+		return sp.SaveS + 5, true
+	case h.leavingAt == 0:
+		return 0, false
+	}
+	left := (h.leavingAt - n.now).Seconds()
+	switch {
+	case sp.Shape == wire.ShapeGang && sp.Frames > 1:
+		// All tasks have to be told, so the record says it.
+		n.stopJobs[j.ix] = true
+		return 0, false
+	case sp.Shape == wire.ShapeDaemon || sp.CheckpointS == 0:
+		return 0, left < 2.5*n.cfg.Report.Seconds()
+	}
+	return max(sp.SaveS+1, left-1), true
+}
+
+// holdBack delays the start of a gang's tasks whose machines have the image
+// until those that fetch it are nearly there: a task waits for the others no
+// longer than gang_wait_s, which a fetch can exceed.
+func (n *Node) holdBack(j *job, a *wire.Active) bool {
+	sp := j.rec.Spec
+	if sp.Shape != wire.ShapeGang || sp.Frames < 2 {
+		return false
+	}
+	if !n.hostOf(a.Host).images[j.image] {
+		return false
+	}
+	for i := range j.rec.Active {
+		b := &j.rec.Active[i]
+		if b.Attempt != a.Attempt || b.Host == "" {
+			continue
+		}
+		hb := n.hostOf(b.Host)
+		if hb.images[j.image] || n.parts[b.Part].rec == nil || !n.valid(n.parts[b.Part]) {
+			continue
+		}
+		return true
+	}
+	return false
+}
+
+// taskEnded notes the end of a task for its record and what it says of the
+// machine.
+func (n *Node) taskEnded(h *host, k taskKey, t *wire.Task) {
+	if _, known := n.results[k]; known {
+		return
+	}
+	n.results[k] = result{h.name, t.Cause}
+	j := n.jobs[k.job]
+	switch t.Cause {
+	case wire.CauseDone:
+		h.errJobs, h.sick = nil, false
+		h.images[j.image] = true
+	case wire.CauseError:
+		if h.errJobs == nil {
+			h.errJobs = map[int]bool{}
+		}
+		if j.rec.Errors < 3 {
+			h.errJobs[k.job] = true
+		}
+		// Two jobs failing here, or one that runs elsewhere, speak against
+		// the machine rather than the job.
+		if len(h.errJobs) >= 2 || countDone(j.rec.DoneSet) > 0 {
+			h.sick = true
+		}
+	case wire.CauseFull:
+		h.fullUntil = n.now + 2*n.cfg.Report
+	}
+	n.log(0, "task ended", "job", j.ref, "task", k.task, "attempt", k.attempt, "host", h.name, "cause", t.Cause)
+}
+
+// usable tells whether an owner may place tasks on a machine of its own.
+func (n *Node) usable(h *host) bool {
+	p := n.parts[h.part]
+	return h.term == p.rev && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
+		!h.sick && !h.retiring && !h.returned && n.now >= h.fullUntil
+}
+
+// ownerTick writes what has become of tasks, and places granted ones.
+func (n *Node) ownerTick() {
+	if n.now < n.ownerAt {
+		return
+	}
+	n.ownerAt = n.now + 100*1e6
+	anyValid := false
+	for _, p := range n.parts {
+		if n.valid(p) {
+			anyValid = true
+			n.silentHosts(p)
+		}
+	}
+	if !anyValid {
+		n.owner.drop()
+		return
+	}
+	if !n.owner.ready(n) {
+		return
+	}
+	w := newWriter(n)
+	n.applyResults(w)
+	n.applyStops(w)
+	n.placeGranted(w)
+	n.settleGangs(w)
+	w.send(&n.owner, nil)
+}
+
+// silentHosts gives up the tasks of machines whose lease must have run out.
+func (n *Node) silentHosts(p *part) {
+	limit := n.cfg.Lease + n.cfg.Lease/1000 + second
+	for _, h := range n.hosts {
+		if h.part != p.ix || len(h.jobs) == 0 {
+			continue
+		}
+		last := p.bound
+		if h.term == p.rev {
+			last = max(last, h.answered)
+		}
+		if h.returned || n.now-last > limit {
+			for _, jx := range h.jobs {
+				for _, a := range n.jobs[jx].rec.Active {
+					if a.Host == h.name && a.Part == p.ix {
+						k := taskKey{jx, a.Task, a.Attempt}
+						if _, known := n.results[k]; !known {
+							n.results[k] = result{h.name, causeLost}
+							n.log(1, "task lost with its machine", "job", n.jobs[jx].ref, "task", a.Task, "host", h.name)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// writer gathers changed records for one commit.
+type writer struct {
+	n     *Node
+	recs  map[int]*wire.Job
+	order []int
+	parts map[int]bool
+	extra []Write
+	conds []Cond
+	bytes int
+}
+
+func newWriter(n *Node) *writer {
+	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}}
+}
+
+// job gives a copy of the record to change, or nil when the commit is full.
+func (w *writer) job(j *job) *wire.Job {
+	if r := w.recs[j.ix]; r != nil {
+		return r
+	}
+	size := 900 + 60*len(j.rec.Active)
+	if len(w.order)+len(w.extra) >= w.n.cfg.TxnOps-1 || w.bytes+size > 48_000 {
+		return nil
+	}
+	w.bytes += size
+	w.recs[j.ix] = clone(j.rec)
+	w.order = append(w.order, j.ix)
+	return w.recs[j.ix]
+}
+
+// also adds a write of another key under a condition.
+func (w *writer) also(wr Write, c Cond) bool {
+	if len(w.order)+len(w.extra) >= w.n.cfg.TxnOps {
+		return false
+	}
+	w.extra = append(w.extra, wr)
+	w.conds = append(w.conds, c)
+	return true
+}
+
+// send commits the changes, each conditional on its record's revision, and
+// all on the terms of the parts they speak for.
+func (w *writer) send(b *batch, onOK func()) {
+	if len(w.order)+len(w.extra) == 0 {
+		return
+	}
+	conds := w.conds
+	for i, p := range w.n.parts {
+		if w.parts[i] {
+			conds = append(conds, Cond{wire.PartKey(p.name), p.rev})
+		}
+	}
+	writes := w.extra
+	for _, jx := range w.order {
+		j := w.n.jobs[jx]
+		tidy(w.recs[jx])
+		conds = append(conds, Cond{wire.JobKey(j.ref), j.rev})
+		writes = append(writes, Write{Key: wire.JobKey(j.ref), Value: w.recs[jx]})
+	}
+	b.start(w.n, conds, writes, w.order, onOK)
+}
+
+func (n *Node) applyResults(w *writer) {
+	keys := make([]taskKey, 0, len(n.results))
+	for k := range n.results {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(a, b int) bool {
+		if keys[a].job != keys[b].job {
+			return keys[a].job < keys[b].job
+		}
+		if keys[a].task != keys[b].task {
+			return keys[a].task < keys[b].task
+		}
+		return keys[a].attempt < keys[b].attempt
+	})
+	for _, k := range keys {
+		res := n.results[k]
+		a := n.active(k, res.host)
+		if a == nil {
+			delete(n.results, k) // written
+			continue
+		}
+		if !n.valid(n.parts[a.Part]) {
+			delete(n.results, k)
+			continue
+		}
+		rec := w.job(n.jobs[k.job])
+		if rec == nil {
+			return
+		}
+		w.parts[a.Part] = true
+		finish(rec, k, res)
+	}
+}
+
+// finish takes a task that is gone out of its record.
+func finish(rec *wire.Job, k taskKey, res result) {
+	rec.Active = slices.DeleteFunc(rec.Active, func(a wire.Active) bool {
+		return a.Task == k.task && a.Attempt == k.attempt && a.Host == res.host
+	})
+	gang := rec.Spec.Shape == wire.ShapeGang
+	switch {
+	case res.cause == wire.CauseDone && rec.State == wire.Live:
+		rec.Errors, rec.Avoid = 0, nil
+		if gang {
+			// The tasks of a gang complete together.
+			rec.DoneSet = [][2]int{{0, rec.Frames}}
+		} else if rec.Spec.Shape == wire.ShapeArray {
+			rec.DoneSet = addDone(rec.DoneSet, k.task)
+		}
+		return
+	case res.cause == wire.CauseError:
+		rec.Errors++
+		if !contains(rec.Avoid, res.host) {
+			rec.Avoid = append(rec.Avoid, res.host)
+		}
+		if len(rec.Avoid) > 4 {
+			rec.Avoid = rec.Avoid[1:]
+		}
+	}
+	if gang && rec.State == wire.Live {
+		failGang(rec, k.attempt)
+	}
+}
+
+// failGang stops what is left of a gang's attempt. Tasks that are saving on
+// order go on; those not yet placed are given up at once.
+func failGang(rec *wire.Job, attempt uint64) {
+	rec.Active = slices.DeleteFunc(rec.Active, func(a wire.Active) bool {
+		return a.Attempt == attempt && a.Host == ""
+	})
+	for i := range rec.Active {
+		if a := &rec.Active[i]; a.Attempt == attempt && a.Stop == wire.Keep {
+			a.Stop = wire.Abandon
+		}
+	}
+}
+
+// applyStops marks gangs that have to leave a machine for an orderly stop.
+func (n *Node) applyStops(w *writer) {
+	var list []int
+	for jx := range n.stopJobs {
+		list = append(list, jx)
+	}
+	slices.Sort(list)
+	for _, jx := range list {
+		j := n.jobs[jx]
+		if j.rec == nil || j.rec.State != wire.Live || !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool { return a.Stop == wire.Keep }) {
+			delete(n.stopJobs, jx)
+			continue
+		}
+		rec := w.job(j)
+		if rec == nil {
+			return
+		}
+		markStop(rec)
+	}
+}
+
+// markStop asks every task of a job to save and exit.
+func markStop(rec *wire.Job) {
+	rec.Active = slices.DeleteFunc(rec.Active, func(a wire.Active) bool { return a.Host == "" })
+	for i := range rec.Active {
+		if rec.Active[i].Stop == wire.Keep {
+			rec.Active[i].Stop = wire.Preempt
+		}
+	}
+}
+
+// ownSlots lists the room on the machines that we own, less what is held.
+func (n *Node) ownSlots() []*slot {
+	var slots []*slot
+	for _, h := range n.hosts {
+		if h.part >= 0 && n.valid(n.parts[h.part]) && n.usable(h) {
+			if s := n.slotOf(h); s != nil {
+				slots = append(slots, s)
+			}
+		}
+	}
+	n.takeHolds(slots)
+	return slots
+}
+
+// placeGranted chooses machines for the tasks granted to our parts.
+func (n *Node) placeGranted(w *writer) {
+	var slots []*slot
+	for _, jx := range n.live {
+		j := n.jobs[jx]
+		if !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
+			return a.Host == "" && n.valid(n.parts[a.Part])
+		}) {
+			continue
+		}
+		if slots == nil {
+			slots = n.ownSlots()
+		}
+		n.placeJob(w, j, slots)
+	}
+}
+
+// grantPatience is how long an owner looks for room for a grant before it
+// gives it back.
+const grantPatience = 2500 * 1e6
+
+func (n *Node) placeJob(w *writer, j *job, slots []*slot) {
+	sp := j.rec.Spec
+	if j.rec.State != wire.Live {
+		if rec := w.job(j); rec != nil {
+			n.giveBack(w, rec)
+		}
+		return
+	}
+	if sp.Shape == wire.ShapeGang {
+		n.placeGang(w, j, slots)
+		return
+	}
+	for i := range j.rec.Active {
+		a := &j.rec.Active[i]
+		if a.Host != "" || !n.valid(n.parts[a.Part]) {
+			continue
+		}
+		s := n.best(j, slots, func(s *slot) bool { return s.part == a.Part })
+		k := taskKey{j.ix, a.Task, a.Attempt}
+		if s == nil && !n.outOfPatience(k) {
+			continue
+		}
+		rec := w.job(j)
+		if rec == nil {
+			return
+		}
+		w.parts[a.Part] = true
+		if s == nil {
+			rec.Active = slices.DeleteFunc(rec.Active, func(b wire.Active) bool {
+				return b.Task == a.Task && b.Attempt == a.Attempt && b.Host == ""
+			})
+			continue
+		}
+		s.take(sp)
+		setHost(rec, a, s.h)
+	}
+}
+
+func setHost(rec *wire.Job, a *wire.Active, h *host) {
+	for i := range rec.Active {
+		if b := &rec.Active[i]; b.Task == a.Task && b.Attempt == a.Attempt {
+			b.Host, b.Session = h.name, h.session
+		}
+	}
+}
+
+// giveBack removes the grants to our parts that were never placed.
+func (n *Node) giveBack(w *writer, rec *wire.Job) {
+	rec.Active = slices.DeleteFunc(rec.Active, func(a wire.Active) bool {
+		mine := a.Host == "" && n.valid(n.parts[a.Part])
+		if mine {
+			w.parts[a.Part] = true
+		}
+		return mine
+	})
+}
+
+// outOfPatience tells whether a grant has waited too long for room.
+func (n *Node) outOfPatience(k taskKey) bool {
+	if len(n.grantSeen) > 4096 {
+		clear(n.grantSeen)
+	}
+	at, seen := n.grantSeen[k]
+	if !seen {
+		n.grantSeen[k] = n.now
+		return false
+	}
+	return n.now-at > grantPatience
+}
--- /dev/null
+++ b/internal/core/queue.go
@@ -0,0 +1,451 @@
+package core
+
+import (
+	"slices"
+	"sort"
+
+	"micaport/internal/wire"
+)
+
+// want is a job in its team's queue.
+type want struct {
+	j      *job
+	tasks  []int
+	within bool // inside the team's guarantee, with the jobs before it
+}
+
+// teamQueue is the queue of one team.
+type teamQueue struct {
+	team  *Team
+	wants []*want
+}
+
+// queues builds a queue for each team, most pressing first.
+func (n *Node) queues() []*teamQueue {
+	byTeam := map[string]*teamQueue{}
+	var out []*teamQueue
+	for i := range n.cfg.Teams {
+		q := &teamQueue{team: &n.cfg.Teams[i]}
+		byTeam[q.team.Name] = q
+		out = append(out, q)
+	}
+	order := slices.Clone(n.live)
+	sort.SliceStable(order, func(a, b int) bool {
+		x, y := n.jobs[order[a]], n.jobs[order[b]]
+		if x.rec.At != y.rec.At {
+			return x.rec.At < y.rec.At
+		}
+		return x.ref < y.ref
+	})
+	sum := map[string]*use{}
+	for _, jx := range order {
+		j := n.jobs[jx]
+		if j.rec.State != wire.Live || j.rec.Spec == nil {
+			continue
+		}
+		sp := j.rec.Spec
+		q := byTeam[sp.Team]
+		if q == nil {
+			continue
+		}
+		u := sum[sp.Team]
+		if u == nil {
+			u = &use{}
+			sum[sp.Team] = u
+		}
+		u.add(sp, float64(j.rec.Frames-countDone(j.rec.DoneSet)))
+		t := q.team
+		j.within = (t.Cards > 0 || t.Cores > 0) && !over(u.cards, t.Cards) && !over(u.cores, t.Cores)
+		if n.now < j.notBefore {
+			continue
+		}
+		w := &want{j: j, within: j.within}
+		if sp.Shape == wire.ShapeGang {
+			if len(j.rec.Active) > 0 {
+				continue // the old attempt is not gone yet
+			}
+			w.tasks = pendingTasks(j.rec, j.rec.Frames)
+		} else {
+			w.tasks = pendingTasks(j.rec, n.activeLimit()-len(j.rec.Active))
+		}
+		if len(w.tasks) > 0 {
+			q.wants = append(q.wants, w)
+		} else {
+			j.blockedSince = 0
+		}
+	}
+	for _, q := range out {
+		sort.SliceStable(q.wants, func(a, b int) bool { return q.wants[a].rank() > q.wants[b].rank() })
+	}
+	return out
+}
+
+// rank puts urgent work first, and work within a guarantee before borrowed.
+func (w *want) rank() float64 {
+	r := float64(w.j.prio)
+	if w.within {
+		r += 1.5
+	}
+	return r
+}
+
+// share is how much of its guarantee a team uses; less is served first.
+func (p *plan) share(t *Team) float64 {
+	u := p.used[t.Name]
+	switch {
+	case t.Cards > 0:
+		return u.cards / t.Cards
+	case t.Cores > 0:
+		return u.cores / t.Cores
+	}
+	return 1 + u.cards + u.cores/8
+}
+
+// serveQueues takes the teams in turn: the most pressing head first, and
+// among equals the team that uses the least of its share.
+func (p *plan) serveQueues(qs []*teamQueue) {
+	for !p.full {
+		var pick *teamQueue
+		for _, q := range qs {
+			if len(q.wants) == 0 {
+				continue
+			}
+			if pick == nil || q.wants[0].rank() > pick.wants[0].rank() ||
+				q.wants[0].rank() == pick.wants[0].rank() && p.share(q.team) < p.share(pick.team) {
+				pick = q
+			}
+		}
+		if pick == nil {
+			return
+		}
+		w := pick.wants[0]
+		more := false
+		if w.j.rec.Spec.Shape == wire.ShapeGang {
+			p.serveGang(w)
+		} else {
+			more = p.serveTask(w)
+		}
+		if !more || len(w.tasks) == 0 {
+			pick.wants = pick.wants[1:]
+		}
+	}
+}
+
+// record is the job's record with what this pass has added.
+func (p *plan) record(j *job) *wire.Job {
+	if r := p.w.recs[j.ix]; r != nil {
+		return r
+	}
+	return j.rec
+}
+
+// serveTask grants the next task of an array or daemon, and tells whether to
+// go on with the job.
+func (p *plan) serveTask(w *want) bool {
+	j, sp := w.j, w.j.rec.Spec
+	if !p.quota(j, 1) {
+		return false
+	}
+	rec := p.record(j)
+	zones := p.n.zoneTasks(rec)
+	ok := func(s *slot) bool {
+		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
+			return false
+		}
+		if sp.SameZone {
+			for z, c := range zones {
+				if c > 0 && z != s.zone {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	if s := p.n.best(j, p.slots, ok); s != nil {
+		if !p.grant(j, w.tasks[:1], []*slot{s}) {
+			return false
+		}
+		s.take(sp)
+		w.tasks = w.tasks[1:]
+		j.blockedSince = 0
+		return true
+	}
+	p.blocked(j)
+	// Room on its way counts before machines still to come.
+	for _, s := range p.slots {
+		if s.allowed(sp) && s.fitsSoon(sp) && ok(s) {
+			s.take(sp)
+			w.tasks = w.tasks[1:]
+			return true
+		}
+	}
+	if p.preempt(w, ok) {
+		w.tasks = w.tasks[1:]
+		return true
+	}
+	if s := p.n.best(j, p.hope, ok); s != nil {
+		s.take(sp)
+	} else if s := p.hireFor(w, ok); s != nil {
+		s.take(sp)
+	} else {
+		return false
+	}
+	// Simulated only: later passes grant it for real. Count its use so that
+	// no more is hired than the team may use.
+	p.used[sp.Team].add(sp, 1)
+	w.tasks = w.tasks[1:]
+	return true
+}
+
+func (p *plan) blocked(j *job) {
+	if j.blockedSince == 0 {
+		j.blockedSince = p.n.now
+	}
+}
+
+// serveGang grants a whole gang or nothing.
+func (p *plan) serveGang(w *want) {
+	j, sp := w.j, w.j.rec.Spec
+	if !p.quota(j, len(w.tasks)) {
+		return
+	}
+	if chosen := p.gangSlots(w, p.slots); chosen != nil {
+		if p.grant(j, w.tasks, chosen) {
+			for _, s := range chosen {
+				s.take(sp)
+			}
+		}
+		j.blockedSince = 0
+		return
+	}
+	p.blocked(j)
+	if len(w.tasks) == 1 {
+		for _, s := range p.slots {
+			if s.allowed(sp) && s.fitsSoon(sp) {
+				s.take(sp)
+				return
+			}
+		}
+		if p.preempt(w, func(*slot) bool { return true }) {
+			return
+		}
+	}
+	p.awaitGang(w)
+}
+
+// gangSlots chooses machines for a gang: from one part if any has the room,
+// else from one zone, else from anywhere unless the zone has to be one.
+func (p *plan) gangSlots(w *want, from []*slot) []*slot {
+	var best []*slot
+	bestScore := 0.0
+	try := func(ok func(*slot) bool, penalty float64) {
+		chosen, score := p.pick(w, from, ok)
+		if chosen != nil && (best == nil || score+penalty < bestScore) {
+			best, bestScore = chosen, score+penalty
+		}
+	}
+	for _, part := range p.n.parts {
+		try(func(s *slot) bool { return s.part == part.ix }, 0)
+	}
+	if best != nil && len(w.tasks) == 1 {
+		return best
+	}
+	for _, z := range p.n.cfg.Zones {
+		try(func(s *slot) bool { return s.zone == z && s.part >= 0 }, 10)
+	}
+	if !w.j.rec.Spec.SameZone {
+		try(func(s *slot) bool { return s.part >= 0 }, 20)
+	}
+	return best
+}
+
+// pick chooses greedily and undoes its taking.
+func (p *plan) pick(w *want, from []*slot, ok func(*slot) bool) ([]*slot, float64) {
+	sp := w.j.rec.Spec
+	var chosen []*slot
+	worst := 0.0
+	zones := map[string]int{}
+	for range w.tasks {
+		s := p.n.best(w.j, from, func(s *slot) bool {
+			return ok(s) && !(sp.Spread && zones[s.zone] >= zoneLimit(sp))
+		})
+		if s == nil {
+			break
+		}
+		worst = max(worst, p.n.score(w.j, s))
+		s.take(sp)
+		zones[s.zone]++
+		chosen = append(chosen, s)
+	}
+	for _, s := range chosen {
+		s.cores += sp.Cores
+		s.cards += sp.Cards
+		s.mem += sp.MemoryGB
+	}
+	if len(chosen) < len(w.tasks) {
+		return nil, 0
+	}
+	return chosen, worst
+}
+
+// awaitGang reserves room for a gang that does not fit yet: what is free or
+// about to be in the zone that lacks the fewest machines, and hires the rest.
+func (p *plan) awaitGang(w *want) {
+	sp := w.j.rec.Spec
+	type choice struct {
+		zone  string
+		got   []*slot
+		short int
+	}
+	var best *choice
+	consider := func(zone string) {
+		c := choice{zone: zone}
+		for _, list := range [][]*slot{p.slots, p.hope} {
+			for _, s := range list {
+				if zone != "" && s.zone != zone || !s.allowed(sp) {
+					continue
+				}
+				for len(c.got) < len(w.tasks) && s.fitsSoon(sp) {
+					s.take(sp)
+					c.got = append(c.got, s)
+				}
+			}
+		}
+		for _, s := range c.got {
+			s.cores += sp.Cores
+			s.cards += sp.Cards
+			s.mem += sp.MemoryGB
+		}
+		c.short = len(w.tasks) - len(c.got)
+		if c.short > 0 && !p.canHire(sp, zone) {
+			c.short += 1000
+		}
+		if best == nil || c.short < best.short {
+			best = &c
+		}
+	}
+	if sp.SameZone {
+		for _, z := range p.n.cfg.Zones {
+			if sp.Zone == "" || sp.Zone == z {
+				consider(z)
+			}
+		}
+	} else {
+		consider(sp.Zone)
+	}
+	if best == nil {
+		return
+	}
+	for _, s := range best.got {
+		s.take(sp)
+	}
+	for i := len(best.got); i < len(w.tasks); i++ {
+		s := p.hireFor(w, func(s *slot) bool { return best.zone == "" || s.zone == best.zone })
+		if s == nil {
+			return
+		}
+		s.take(sp)
+	}
+}
+
+// preempt stops work to make room for one task: work of lower urgency, or
+// work that another team runs beyond its guarantee when this one is within.
+func (p *plan) preempt(w *want, ok func(*slot) bool) bool {
+	n := p.n
+	if !n.cfg.Preempt || p.stops >= 4 || n.now-w.j.blockedSince < second {
+		return false
+	}
+	if w.j.prio < 2 && !w.within {
+		return false
+	}
+	sp := w.j.rec.Spec
+	type victim struct {
+		j    *job
+		a    wire.Active
+		cost float64
+	}
+	var best []victim
+	bestCost := 0.0
+	for _, s := range p.slots {
+		if s.h == nil || !s.allowed(sp) || !ok(s) || s.reserved {
+			continue
+		}
+		var list []victim
+		for _, jx := range s.h.jobs {
+			v := n.jobs[jx]
+			if v == w.j || v.rec.State != wire.Live || v.rec.Spec.Shape == wire.ShapeDaemon || p.w.recs[jx] != nil {
+				continue
+			}
+			if !p.mayStop(w, v) {
+				continue
+			}
+			for _, a := range v.rec.Active {
+				if a.Host == s.h.name && a.Stop == wire.Keep {
+					cost := v.rec.Spec.SaveS + float64(20*v.prio)
+					if v.rec.Spec.CheckpointS == 0 {
+						cost += 100
+					}
+					cost += 30 * float64(len(v.rec.Active)-1) * float64(b2i(v.rec.Spec.Shape == wire.ShapeGang))
+					list = append(list, victim{v, a, cost})
+				}
+			}
+		}
+		slices.SortStableFunc(list, func(a, b victim) int { return int(a.cost*10) - int(b.cost*10) })
+		cores, cards, mem := s.cores+s.soonCores, s.cards+s.soonCards, s.mem+s.soonMem
+		var chosen []victim
+		cost := n.score(w.j, s)
+		for _, v := range list {
+			if sp.Cores <= cores+eps && sp.Cards <= cards+eps && sp.MemoryGB <= mem+eps {
+				break
+			}
+			chosen = append(chosen, v)
+			cost += v.cost
+			cores += v.j.rec.Spec.Cores
+			cards += v.j.rec.Spec.Cards
+			mem += v.j.rec.Spec.MemoryGB
+		}
+		if len(chosen) == 0 || !(sp.Cores <= cores+eps && sp.Cards <= cards+eps && sp.MemoryGB <= mem+eps) {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = chosen, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, v := range best {
+		rec := p.w.job(v.j)
+		if rec == nil {
+			p.full = true
+			return false
+		}
+		if v.j.rec.Spec.Shape == wire.ShapeGang {
+			markStop(rec)
+		} else {
+			for i := range rec.Active {
+				if rec.Active[i].Task == v.a.Task && rec.Active[i].Attempt == v.a.Attempt {
+					rec.Active[i].Stop = wire.Preempt
+				}
+			}
+		}
+		n.log(1, "preempting", "job", v.j.ref, "task", v.a.Task, "for", w.j.ref)
+	}
+	p.stops++
+	return true
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// mayStop tells whether the rules of preemption let w stop work of v.
+func (p *plan) mayStop(w *want, v *job) bool {
+	if v.prio < w.j.prio {
+		return true
+	}
+	return w.within && !v.within && v.rec.Spec.Team != w.j.rec.Spec.Team
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,214 @@
+// Package node wires the core to its adapters. The core is owned by one
+// goroutine, which takes inputs from a channel and carries out the effects.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/net/netutil"
+
+	"micaport/internal/api"
+	"micaport/internal/cloud"
+	"micaport/internal/config"
+	"micaport/internal/core"
+	"micaport/internal/peer"
+	"micaport/internal/store"
+	"micaport/internal/wire"
+	"micaport/internal/worker"
+)
+
+// Node is a running controller.
+type Node struct {
+	log    *slog.Logger
+	start  time.Time
+	inputs chan any
+	core   *core.Node
+	links  map[string]*peer.Link
+	store  *store.Client
+	cloud  *cloud.Client
+
+	nextReq atomic.Uint64
+	waiting map[uint64]chan core.Reply // owned by the core's goroutine
+	ready   atomic.Bool
+}
+
+// asked is an input that wants a reply.
+type asked struct {
+	req   uint64
+	in    any
+	reply chan core.Reply
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, s *config.Settings, op config.Operator, log *slog.Logger) error {
+	d := &s.Deployment
+	if mb := d.Limits.MemoryMB; mb > 0 {
+		// Leave room for what the collector does not see: stacks of the C
+		// library, the binary, and buffers of the network.
+		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+		debug.SetGCPercent(200)
+	}
+	public, err := net.Listen("tcp", s.Bind)
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	private, err := net.Listen("tcp", s.ClusterBind)
+	if err != nil {
+		return fmt.Errorf("cluster_listen: %w", err)
+	}
+	if d.Limits.Sockets > 200 {
+		public = netutil.LimitListener(public, d.Limits.Sockets-120)
+		private = netutil.LimitListener(private, 60)
+	}
+	n := &Node{
+		log: log, start: time.Now(), inputs: make(chan any, 1024),
+		links: map[string]*peer.Link{}, waiting: map[uint64]chan core.Reply{},
+	}
+	n.core = core.New(coreConfig(s, op))
+	members := len(s.Peers) + 1
+	n.store = store.New(s.External.State, members, d.State.RPS, d.State.WriteRPS, d.State.TxnOps, n.post)
+	n.cloud = cloud.New(s.External.Cloud, d.Cloud.RPS, n.post)
+	for _, p := range s.Peers {
+		n.links[p.Label] = peer.Dial(p.Address)
+	}
+	r := httprouter.New()
+	api.Routes(r, n.ask, n.ready.Load)
+	worker.Routes(r, n.ask)
+	fail := make(chan error, 3)
+	srv := api.Server(r)
+	go func() { fail <- srv.Serve(public) }()
+	go func() { fail <- peer.Serve(private, n.post, n.ask) }()
+	go n.store.Watch(ctx)
+	go n.run(ctx)
+	log.Info("serving", "node", s.Label, "bind", s.Bind, "validity", s.Validity())
+	select {
+	case err := <-fail:
+		return err
+	case <-ctx.Done():
+		return srv.Shutdown(context.Background())
+	}
+}
+
+func coreConfig(s *config.Settings, op config.Operator) core.Config {
+	d := &s.Deployment
+	c := core.Config{
+		Self: s.Label, Zone: s.Zone,
+		Life:    fmt.Sprintf("%d-%d-%d", os.Getpid(), time.Now().UnixNano(), rand.Uint32()),
+		Members: []core.Member{{Label: s.Label, Zone: s.Zone}},
+		Zones:   d.Zones,
+		Report:  config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
+		GangWait: config.Seconds(d.Workers.GangWaitS), GangPeer: config.Seconds(d.Workers.GangPeerS),
+		Validity:  s.Validity(),
+		LeaderTTL: 5 * time.Second,
+		TxnOps:    d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		ListLag:    config.Seconds(d.Cloud.ListLagS),
+		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
+		MaxMachines: op.MaxMachines, Preempt: op.Preempt,
+		WallMS: func() int64 { return time.Now().UnixMilli() },
+		Seed:   rand.Uint64(),
+	}
+	for _, p := range s.Peers {
+		c.Members = append(c.Members, core.Member{Label: p.Label, Zone: p.Zone})
+	}
+	for _, t := range d.Teams {
+		c.Teams = append(c.Teams, core.Team{Name: t.Name, Cores: t.Cores, Cards: t.Cards, CoresMax: t.CoresMax, CardsMax: t.CardsMax})
+	}
+	return c
+}
+
+// post gives the core an input.
+func (n *Node) post(in any) { n.inputs <- in }
+
+// ask gives the core a request and waits for its reply.
+func (n *Node) ask(make_ func(req uint64) any) (core.Reply, bool) {
+	a := asked{req: n.nextReq.Add(1), reply: make(chan core.Reply, 1)}
+	a.in = make_(a.req)
+	select {
+	case n.inputs <- a:
+	default:
+		return core.Reply{}, false
+	}
+	select {
+	case r := <-a.reply:
+		return r, true
+	case <-time.After(6 * time.Second):
+		return core.Reply{}, false
+	}
+}
+
+func (n *Node) run(ctx context.Context) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		var in any
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			in = core.Tick{}
+		case in = <-n.inputs:
+		}
+		if a, ok := in.(asked); ok {
+			n.waiting[a.req] = a.reply
+			in = a.in
+		}
+		for _, e := range n.core.Step(time.Since(n.start), in) {
+			n.perform(e)
+		}
+		if !n.ready.Load() {
+			n.ready.Store(n.core.Ready())
+		}
+	}
+}
+
+func (n *Node) perform(e any) {
+	switch x := e.(type) {
+	case core.Commit:
+		n.store.Commit(x)
+	case core.Read:
+		n.store.Read(x)
+	case core.Lease:
+		n.store.Lease(x)
+	case core.Cloud:
+		n.cloud.Call(x)
+	case core.Send:
+		if l := n.links[x.To]; l != nil {
+			l.Send(x.Msg)
+		}
+	case core.Forward:
+		n.forward(x)
+	case core.Reply:
+		if c := n.waiting[x.Req]; c != nil {
+			delete(n.waiting, x.Req)
+			c <- x
+		}
+	case core.Log:
+		level := slog.LevelDebug
+		switch x.Level {
+		case 1:
+			level = slog.LevelInfo
+		case 2:
+			level = slog.LevelError
+		}
+		n.log.Log(context.Background(), level, x.Text, x.Args...)
+	}
+}
+
+// forward hands a user's request to a peer.
+func (n *Node) forward(f core.Forward) {
+	l := n.links[f.To]
+	if l == nil {
+		go n.post(core.Forwarded{Req: f.Req})
+		return
+	}
+	l.Ask(f.Call, func(a wire.UserAnswer) { go n.post(core.Forwarded{Req: f.Req, Answer: a}) })
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,319 @@
+// Package store speaks to the state service: transactions, leases, reads, and
+// the watch that keeps the core's copy of the records up to date.
+package store
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// Client is the adapter. Post delivers results to the core.
+type Client struct {
+	base   string
+	http   *http.Client
+	watch  *http.Client
+	bulk   *rate.Limiter // requests that may wait
+	writes *rate.Limiter // puts and deletes that may wait
+	slots  chan struct{}
+	post   func(any)
+}
+
+// New makes a client that stays within its share of the service's limits.
+func New(addr string, members int, rps, writeRPS float64, txnOps int, post func(any)) *Client {
+	transport := func(conns int) *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns,
+			IdleConnTimeout: 60 * time.Second, DisableCompression: true,
+		}
+	}
+	// The load is uneven: the leader writes most. Each may use more than its
+	// even share, and backs off when the service says that it is too much.
+	share := func(x float64) rate.Limit { return rate.Limit(x * min(1, 1.6/float64(members))) }
+	return &Client{
+		base:   "http://" + addr,
+		http:   &http.Client{Transport: transport(8), Timeout: 1500 * time.Millisecond},
+		watch:  &http.Client{Transport: transport(2), Timeout: 4500 * time.Millisecond},
+		bulk:   rate.NewLimiter(share(rps), max(1, int(rps/4))),
+		writes: rate.NewLimiter(share(writeRPS)*0.8, max(txnOps, int(writeRPS/2))),
+		slots:  make(chan struct{}, 24),
+		post:   post,
+	}
+}
+
+type cond struct {
+	Key string `msgpack:"k"`
+	Rev uint64 `msgpack:"key_rev"`
+}
+
+type commitBody struct {
+	If     []cond           `msgpack:"if"`
+	Writes []map[string]any `msgpack:"writes,omitempty"`
+}
+
+type answer struct {
+	Rev    uint64             `msgpack:"ledger_rev"`
+	Value  msgpack.RawMessage `msgpack:"v"`
+	KeyRev uint64             `msgpack:"key_rev"`
+	Lease  uint64             `msgpack:"permit"`
+	Error  string             `msgpack:"error"`
+}
+
+// Commit runs a transaction.
+func (c *Client) Commit(q core.Commit) {
+	go func() {
+		if q.Class == core.Bulk {
+			ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+			defer stop()
+			if c.bulk.Wait(ctx) != nil || c.writes.WaitN(ctx, max(1, len(q.Writes))) != nil {
+				c.post(core.Committed{ID: q.ID, Outcome: core.Refused})
+				return
+			}
+		}
+		body := commitBody{If: []cond{}}
+		for _, x := range q.If {
+			body.If = append(body.If, cond{x.Key, x.Rev})
+		}
+		for _, w := range q.Writes {
+			m := map[string]any{}
+			if w.Value == nil {
+				m["drop"] = w.Key
+			} else {
+				m["put"], m["v"] = w.Key, w.Value
+				if w.Lease != 0 {
+					m["permit"] = w.Lease
+				}
+			}
+			body.Writes = append(body.Writes, m)
+		}
+		var a answer
+		out := c.call(q.Class, http.MethodPost, "/commit", body, &a)
+		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev})
+	}()
+}
+
+// Read fetches the record of a job.
+func (c *Client) Read(q core.Read) {
+	go func() {
+		var a answer
+		out := c.call(core.User, http.MethodGet, "/store/"+wire.JobKey(q.Ref), nil, &a)
+		r := core.GotJob{ID: q.ID, Outcome: out, Rev: a.KeyRev}
+		if out == core.OK {
+			r.Job = new(wire.Job)
+			if err := wire.Decode(a.Value, r.Job); err != nil {
+				r.Outcome = core.Unknown
+			}
+		}
+		c.post(r)
+	}()
+}
+
+// Lease creates or extends a lease.
+func (c *Client) Lease(q core.Lease) {
+	go func() {
+		var a answer
+		var out core.Outcome
+		if q.Lease == 0 {
+			out = c.call(core.Vital, http.MethodPost, "/grants", map[string]int64{"life_ms": q.TTL.Milliseconds()}, &a)
+		} else {
+			out = c.call(core.Vital, http.MethodPost, fmt.Sprintf("/grants/%d/extend", q.Lease), nil, &a)
+		}
+		if out == core.OK && q.Lease == 0 && a.Lease == 0 {
+			out = core.Unknown
+		}
+		c.post(core.Leased{ID: q.ID, Outcome: out, Lease: a.Lease})
+	}()
+}
+
+// call sends a request and says what is certain about it.
+func (c *Client) call(class core.Class, method, path string, body, into any) core.Outcome {
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-time.After(time.Second):
+		if class != core.Vital {
+			return core.Refused
+		}
+	}
+	for try := 0; ; try++ {
+		status, err := c.send(c.http, method, path, body, into)
+		if err != nil {
+			return core.Unknown
+		}
+		switch status {
+		case http.StatusOK:
+			return core.OK
+		case http.StatusConflict:
+			return core.Conflict
+		case http.StatusNotFound:
+			return core.Missing
+		case http.StatusBadRequest:
+			return core.BadLease
+		case http.StatusTooManyRequests:
+			if try < 4 {
+				time.Sleep(time.Duration(100+rand.IntN(150)*(try+1)) * time.Millisecond)
+				continue
+			}
+			return core.Refused
+		case http.StatusServiceUnavailable:
+			return core.Refused
+		}
+		return core.Unknown
+	}
+}
+
+func (c *Client) send(h *http.Client, method, path string, body, into any) (int, error) {
+	var rd io.Reader
+	if body != nil {
+		b, err := wire.Encode(body)
+		if err != nil {
+			return 0, err
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, c.base+path, rd)
+	if err != nil {
+		return 0, err
+	}
+	// A request must not be repeated behind our back: whether it was
+	// carried out is for the core to reason about.
+	req.GetBody = nil
+	resp, err := h.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	if err != nil {
+		return 0, err
+	}
+	if into != nil && len(b) > 0 && (resp.StatusCode == 200 || resp.StatusCode == 409) {
+		if err := wire.Decode(b, into); err != nil {
+			return 0, err
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+type row struct {
+	Key  string             `msgpack:"k"`
+	Val  msgpack.RawMessage `msgpack:"v"`
+	Rev  uint64             `msgpack:"key_rev"`
+	Put  string             `msgpack:"put"`
+	Drop string             `msgpack:"drop"`
+}
+
+type listing struct {
+	Rows   []row  `msgpack:"rows"`
+	More   bool   `msgpack:"has_next"`
+	Rev    uint64 `msgpack:"ledger_rev"`
+	Events []row  `msgpack:"events"`
+}
+
+// Watch follows all records until ctx ends, from a full listing on.
+func (c *Client) Watch(ctx context.Context) {
+	var rev uint64
+	for ctx.Err() == nil {
+		if rev == 0 {
+			var ok bool
+			if rev, ok = c.list(); !ok {
+				rev = 0
+				time.Sleep(time.Duration(200+rand.IntN(200)) * time.Millisecond)
+				continue
+			}
+		}
+		var l listing
+		q := url.Values{"starts": {wire.Prefix}, "from": {strconv.FormatUint(rev, 10)}, "block_ms": {"3000"}}
+		status, err := c.send(c.watch, http.MethodGet, "/watch?"+q.Encode(), nil, &l)
+		switch {
+		case err != nil:
+			time.Sleep(100 * time.Millisecond)
+		case status == http.StatusOK:
+			ch := core.Changes{Rev: max(rev, l.Rev)}
+			for _, e := range l.Events {
+				if e.Drop != "" {
+					ch.Events = append(ch.Events, core.Event{Key: e.Drop, Rev: e.Rev})
+				} else if v, err := record(e.Put, e.Val); err == nil && v != nil {
+					ch.Events = append(ch.Events, core.Event{Key: e.Put, Rev: e.Rev, Value: v})
+				}
+			}
+			rev = ch.Rev
+			c.post(ch)
+			// Changes come in bursts; a short pause gathers them.
+			time.Sleep(40 * time.Millisecond)
+		case status == http.StatusGone:
+			rev = 0
+		default:
+			time.Sleep(time.Duration(150+rand.IntN(200)) * time.Millisecond)
+		}
+	}
+}
+
+// list reads everything. Pages are of different revisions, so the watch goes
+// on from the first one's, and the core acts once it has reached the last's.
+func (c *Client) list() (uint64, bool) {
+	var from string
+	ch := core.Changes{Reset: true}
+	for first := true; ; first = false {
+		q := url.Values{"starts": {wire.Prefix}, "limit": {"500"}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		var l listing
+		if status, err := c.send(c.http, http.MethodGet, "/store?"+q.Encode(), nil, &l); err != nil || status != 200 {
+			return 0, false
+		}
+		if first {
+			ch.Rev = l.Rev
+		}
+		for _, r := range l.Rows {
+			from = r.Key
+			if v, err := record(r.Key, r.Val); err == nil && v != nil {
+				ch.Events = append(ch.Events, core.Event{Key: r.Key, Rev: r.Rev, Value: v})
+			}
+		}
+		if !l.More || len(l.Rows) == 0 {
+			break
+		}
+	}
+	c.post(ch)
+	return max(ch.Rev, 1), true
+}
+
+// record decodes a value by the kind of its key.
+func record(key string, raw []byte) (any, error) {
+	var v any
+	switch {
+	case strings.HasPrefix(key, wire.JobPrefix):
+		v = new(wire.Job)
+	case strings.HasPrefix(key, wire.PartPrefix):
+		v = new(wire.Part)
+	case strings.HasPrefix(key, wire.GangPrefix):
+		v = new(wire.Gang)
+	case key == wire.LeaderKey:
+		v = new(wire.Leader)
+	case key == wire.TypesKey:
+		v = new(wire.Types)
+	default:
+		return nil, nil
+	}
+	if err := wire.Decode(raw, v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/wire/records.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Keys of the state service. All share one prefix, so that one watch sees
+// every change in order.
+const (
+	Prefix     = "m/"
+	JobPrefix  = "m/j/"
+	PartPrefix = "m/p/"
+	GangPrefix = "m/g/"
+	RoomPrefix = "m/r/"
+	LeaderKey  = "m/leader"
+	TypesKey   = "m/types"
+)
+
+// Final and live states of a job record.
+const (
+	Live      = 0
+	Done      = 1
+	Withdrawn = 2
+)
+
+// Stop marks of an active task.
+const (
+	Keep    = 0
+	Preempt = 1 // save, then exit
+	Abandon = 2 // exit at once; the attempt is lost
+)
+
+// Active is a task that has been granted to a part and, once Host is set,
+// placed on a machine. It charges its team until it is removed, and it is
+// removed only on proof that the task is gone. It is encoded as a list to
+// stay within the size of a value.
+type Active struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Task     int
+	Attempt  uint64
+	Part     int
+	Host     string
+	Session  uint64
+	Stop     int
+}
+
+// Job is the record of one job, the sole truth about it.
+type Job struct {
+	Spec    *Spec    `msgpack:"s,omitempty"`
+	State   int      `msgpack:"st"`
+	Frames  int      `msgpack:"n"`
+	At      int64    `msgpack:"at"`           // wall-clock ms when accepted; orders queues only
+	Next    uint64   `msgpack:"nx"`           // next attempt number; never goes back
+	DoneSet [][2]int `msgpack:"dn,omitempty"` // half-open ranges of done tasks
+	Active  []Active `msgpack:"ac,omitempty"`
+	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
+	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
+}
+
+// Part is the claim of a part. Its term is the revision of the claim.
+type Part struct {
+	Owner string `msgpack:"o"`
+	Life  string `msgpack:"b"` // the claiming process, told apart from its earlier lives
+}
+
+// Leader is the claim of leadership.
+type Leader struct {
+	Node string `msgpack:"o"`
+	Life string `msgpack:"b"`
+}
+
+// States of a gang record.
+const (
+	GangTrying    = 0
+	GangConfirmed = 1
+	GangDropped   = 2
+)
+
+// Gang is the record of one attempt of a gang that spans parts.
+type Gang struct {
+	Attempt uint64 `msgpack:"t"`
+	State   int    `msgpack:"st"`
+	Parts   []int  `msgpack:"p"`
+}
+
+// Types caches the machine types, for processes that start while the cloud
+// is in trouble.
+type Types struct {
+	Rigs []Flavor `msgpack:"r"`
+}
+
+// JobKey is the key of a job's record.
+func JobKey(ref string) string { return JobPrefix + ref }
+
+// PartKey is the key of a part's claim.
+func PartKey(name string) string { return PartPrefix + name }
+
+// GangKey is the key of a gang attempt's record.
+func GangKey(ref string, attempt uint64) string {
+	return GangPrefix + ref + "/" + strconv.FormatUint(attempt, 10)
+}
+
+var refForm = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+
+// ValidRef tells whether s has the form of a job id.
+func ValidRef(s string) bool { return refForm.MatchString(s) }
+
+// TaskName joins a job id and a task number.
+func TaskName(ref string, task int) string { return ref + "/" + strconv.Itoa(task) }
+
+// SplitTask is the reverse of TaskName.
+func SplitTask(s string) (ref string, task int, err error) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", 0, fmt.Errorf("task %q has no number", s)
+	}
+	task, err = strconv.Atoi(s[i+1:])
+	if err != nil || task < 0 {
+		return "", 0, fmt.Errorf("task %q has a bad number", s)
+	}
+	return s[:i], task, nil
+}
+
+// Encode writes v as MessagePack.
+func Encode(v any) ([]byte, error) {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	return b, nil
+}
+
+// Decode reads MessagePack into v; fields that v lacks are ignored.
+func Decode(b []byte, v any) error {
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
