--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -228,11 +228,10 @@
 // Watch follows all records until ctx ends, from a full listing on.
 func (c *Client) Watch(ctx context.Context) {
 	var rev uint64
+	listed := false // an empty service is at revision 0, so rev can't tell
 	for ctx.Err() == nil {
-		if rev == 0 {
-			var ok bool
-			if rev, ok = c.list(); !ok {
-				rev = 0
+		if !listed {
+			if rev, listed = c.list(); !listed {
 				time.Sleep(time.Duration(200+rand.IntN(200)) * time.Millisecond)
 				continue
 			}
@@ -257,7 +256,7 @@
 			// Changes come in bursts; a short pause gathers them.
 			time.Sleep(40 * time.Millisecond)
 		case status == http.StatusGone:
-			rev = 0
+			listed = false
 		default:
 			time.Sleep(time.Duration(150+rand.IntN(200)) * time.Millisecond)
 		}
@@ -292,7 +291,7 @@
 		}
 	}
 	c.post(ch)
-	return max(ch.Rev, 1), true
+	return ch.Rev, true
 }
 
 // record decodes a value by the kind of its key.
