--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -152,6 +152,7 @@
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
 		switch c.Outcome {
 		case OK:
+			n.log(0, "accepted", "job", s.Ref, "class", s.Class, "team", s.Team, "frames", s.Frames, "image", s.Image, "gb", s.ImageGB, "expected_s", s.ExpectedS)
 			n.answer(op, 201, wire.JobStatus{Ref: s.Ref, Status: wire.StatusPending})
 		case Conflict:
 			n.lookUp(op)
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -289,6 +289,7 @@
 	// by an earlier owner any more.
 	fresh := r.Token == p.rev
 	reported := make(map[taskKey]bool, len(r.Tasks))
+	before := h.tasks
 	h.tasks = make(map[taskKey]string, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -315,6 +316,9 @@
 		}
 		h.tasks[k] = t.State
 		j := n.jobs[k.job]
+		if before[k] != t.State {
+			n.log(0, "task state", "job", j.ref, "class", j.rec.Spec.Class, "task", task, "attempt", t.Attempt, "host", h.name, "state", t.State)
+		}
 		if t.State != wire.TaskFetching {
 			h.images[j.image] = true
 		}
