--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -74,6 +74,7 @@
 			Leaving: h.leavingAt > 0, Retiring: h.retiring, Sick: h.sick, Errors: len(h.errJobs),
 			Lost: silent > 3*n.cfg.Report+second && 2*fresh[h.part] >= all[h.part],
 		}
+		i.FetchGB = n.fetchGB(h)
 		for im := range n.images.Len() {
 			if h.images[im] {
 				i.Images = append(i.Images, n.images.Name(im))
@@ -85,6 +86,20 @@
 	return out
 }
 
+// fetchGB sums the images that a machine is fetching, or about to.
+func (n *Node) fetchGB(h *host) float64 {
+	seen := map[int]bool{}
+	sum := 0.0
+	for _, jx := range h.jobs {
+		j := n.jobs[jx]
+		if j.rec.Spec != nil && !h.images[j.image] && !seen[j.image] {
+			seen[j.image] = true
+			sum += j.rec.Spec.ImageGB
+		}
+	}
+	return sum
+}
+
 // gossiped takes a peer's message.
 func (n *Node) gossiped(m *wire.Gossip) {
 	if m == nil || !slices.ContainsFunc(n.cfg.Members, func(x Member) bool { return x.Label == m.From }) || m.From == n.cfg.Self {
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -236,7 +236,8 @@
 }
 
 // pools lists the pools that a task may be put on, cheapest first.
-func (n *Node) pools(sp *wire.Spec) []pool {
+func (p *plan) pools(sp *wire.Spec) []pool {
+	n := p.n
 	type priced struct {
 		pool
 		price float64
@@ -258,9 +259,9 @@
 		}
 	}
 	count := map[pool]int{}
-	for _, h := range n.hosts {
-		if !h.returned && h.info.Name != "" {
-			count[pool{h.rig, h.zone, h.spot}]++
+	for _, l := range [][]*slot{p.slots, p.hope} {
+		for _, s := range l {
+			count[pool{s.rig, s.zone, s.spot}]++
 		}
 	}
 	sort.SliceStable(list, func(a, b int) bool {
@@ -279,7 +280,7 @@
 func (p *plan) open(x pool) bool { return p.n.now >= p.n.leader.cloud.backoff[x] }
 
 func (p *plan) canHire(sp *wire.Spec, zone string) bool {
-	for _, x := range p.n.pools(sp) {
+	for _, x := range p.pools(sp) {
 		if (zone == "" || x.zone == zone) && p.open(x) {
 			return true
 		}
@@ -293,7 +294,7 @@
 	if n.cfg.MaxMachines > 0 && len(p.slots)+len(p.hope) >= n.cfg.MaxMachines {
 		return nil
 	}
-	for _, x := range n.pools(w.j.rec.Spec) {
+	for _, x := range p.pools(w.j.rec.Spec) {
 		if !p.open(x) {
 			continue
 		}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -17,6 +17,7 @@
 	prio  int
 	// Leader's memory; lost without harm.
 	blockedSince Time
+	preemptAt    Time // not before this is anything stopped for it again
 	seenAt       Time
 	notBefore    Time
 	errorsSeen   int
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -80,9 +80,17 @@
 	soonCards, soonMem float64
 	reserved           bool // kept for a gang that still waits for more machines
 	images             map[int]bool
+	fetchGB            float64 // being fetched: images share the rate
 	errors             int
 }
 
+// fetching notes that a task's image will be fetched here.
+func (s *slot) fetching(n *Node, j *job) {
+	if !s.images[j.image] {
+		s.fetchGB += j.rec.Spec.ImageGB
+	}
+}
+
 func (s *slot) fits(sp *wire.Spec) bool {
 	return !s.reserved && sp.Cores <= s.cores+eps && sp.Cards <= s.cards+eps && sp.MemoryGB <= s.mem+eps
 }
@@ -95,9 +103,6 @@
 	s.cores -= sp.Cores
 	s.cards -= sp.Cards
 	s.mem -= sp.MemoryGB
-	if sp.Image != "" && s.images == nil {
-		s.images = map[int]bool{}
-	}
 }
 
 func (s *slot) allowed(sp *wire.Spec) bool {
@@ -112,7 +117,7 @@
 		return nil
 	}
 	s := &slot{h: h, part: h.part, zone: h.zone, rig: h.rig, spot: h.spot, rigRef: r,
-		cores: r.Cores, cards: r.Cards, mem: r.MemoryGB, images: h.images, errors: h.info.Errors}
+		cores: r.Cores, cards: r.Cards, mem: r.MemoryGB, images: h.images, errors: h.info.Errors, fetchGB: h.info.FetchGB}
 	for _, jx := range h.jobs {
 		j := n.jobs[jx]
 		if j.rec == nil || j.rec.Spec == nil {
@@ -144,7 +149,7 @@
 	if s.rigRef != nil && s.rigRef.FetchGBs > 0 {
 		rate = s.rigRef.FetchGBs
 	}
-	t := sp.ImageGB / rate
+	t := (sp.ImageGB + s.fetchGB) / rate
 	if s.h != nil {
 		for _, jx := range s.h.jobs {
 			if n.jobs[jx].image == j.image {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -11,7 +11,8 @@
 type want struct {
 	j      *job
 	tasks  []int
-	within bool // inside the team's guarantee, with the jobs before it
+	zones  map[string]int // its tasks by zone, as planned so far
+	within bool           // inside the team's guarantee, with the jobs before it
 }
 
 // teamQueue is the queue of one team.
@@ -80,14 +81,10 @@
 	return out
 }
 
-// rank puts urgent work first, and work within a guarantee before borrowed.
-func (w *want) rank() float64 {
-	r := float64(w.j.prio)
-	if w.within {
-		r += 1.5
-	}
-	return r
-}
+// rank puts urgent work first, and among equals work within a guarantee
+// before borrowed. It must agree with mayStop: if what was stopped came before
+// what it was stopped for, the two would take turns.
+func (w *want) rank() int { return 2*w.j.prio + b2i(w.within) }
 
 // share is how much of its guarantee a team uses; less is served first.
 func (p *plan) share(t *Team) float64 {
@@ -146,8 +143,17 @@
 	if !p.quota(j, 1) {
 		return false
 	}
-	rec := p.record(j)
-	zones := p.n.zoneTasks(rec)
+	if w.zones == nil {
+		w.zones = p.n.zoneTasks(p.record(j))
+	}
+	zones := w.zones
+	// Tasks that only a machine still to come will take count in their zone
+	// too, else all would be planned for the same one.
+	took := func(s *slot) {
+		s.take(sp)
+		zones[s.zone]++
+		w.tasks = w.tasks[1:]
+	}
 	ok := func(s *slot) bool {
 		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
 			return false
@@ -165,8 +171,8 @@
 		if !p.grant(j, w.tasks[:1], []*slot{s}) {
 			return false
 		}
-		s.take(sp)
-		w.tasks = w.tasks[1:]
+		s.fetching(p.n, j)
+		took(s)
 		j.blockedSince = 0
 		return true
 	}
@@ -174,26 +180,25 @@
 	// Room on its way counts before machines still to come.
 	for _, s := range p.slots {
 		if s.allowed(sp) && s.fitsSoon(sp) && ok(s) {
-			s.take(sp)
-			w.tasks = w.tasks[1:]
+			took(s)
 			return true
 		}
 	}
-	if p.preempt(w, ok) {
-		w.tasks = w.tasks[1:]
+	if s := p.preempt(w, ok); s != nil {
+		took(s)
 		return true
 	}
-	if s := p.n.best(j, p.hope, ok); s != nil {
-		s.take(sp)
-	} else if s := p.hireFor(w, ok); s != nil {
-		s.take(sp)
-	} else {
+	s := p.n.best(j, p.hope, ok)
+	if s == nil {
+		s = p.hireFor(w, ok)
+	}
+	if s == nil {
 		return false
 	}
 	// Simulated only: later passes grant it for real. Count its use so that
 	// no more is hired than the team may use.
 	p.used[sp.Team].add(sp, 1)
-	w.tasks = w.tasks[1:]
+	took(s)
 	return true
 }
 
@@ -212,6 +217,7 @@
 	if chosen := p.gangSlots(w, p.slots); chosen != nil {
 		if p.grant(j, w.tasks, chosen) {
 			for _, s := range chosen {
+				s.fetching(p.n, j)
 				s.take(sp)
 			}
 		}
@@ -226,7 +232,7 @@
 				return
 			}
 		}
-		if p.preempt(w, func(*slot) bool { return true }) {
+		if p.preempt(w, func(*slot) bool { return true }) != nil {
 			return
 		}
 	}
@@ -350,13 +356,13 @@
 
 // preempt stops work to make room for one task: work of lower urgency, or
 // work that another team runs beyond its guarantee when this one is within.
-func (p *plan) preempt(w *want, ok func(*slot) bool) bool {
+func (p *plan) preempt(w *want, ok func(*slot) bool) *slot {
 	n := p.n
-	if !n.cfg.Preempt || p.stops >= 4 || n.now-w.j.blockedSince < second {
-		return false
+	if !n.cfg.Preempt || p.stops >= 4 || n.now-w.j.blockedSince < second || n.now < w.j.preemptAt {
+		return nil
 	}
 	if w.j.prio < 2 && !w.within {
-		return false
+		return nil
 	}
 	sp := w.j.rec.Spec
 	type victim struct {
@@ -365,6 +371,7 @@
 		cost float64
 	}
 	var best []victim
+	var room *slot
 	bestCost := 0.0
 	for _, s := range p.slots {
 		if s.h == nil || !s.allowed(sp) || !ok(s) || s.reserved {
@@ -408,17 +415,17 @@
 			continue
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost = chosen, cost
+			best, bestCost, room = chosen, cost, s
 		}
 	}
 	if best == nil {
-		return false
+		return nil
 	}
 	for _, v := range best {
 		rec := p.w.job(v.j)
 		if rec == nil {
 			p.full = true
-			return false
+			return nil
 		}
 		if v.j.rec.Spec.Shape == wire.ShapeGang {
 			markStop(rec)
@@ -432,7 +439,9 @@
 		n.log(1, "preempting", "job", v.j.ref, "task", v.a.Task, "for", w.j.ref)
 	}
 	p.stops++
-	return true
+	// What was stopped takes a report or two to go; stop no more till then.
+	w.j.preemptAt = n.now + 3*n.cfg.Report + Time(best[0].j.rec.Spec.SaveS*float64(second))
+	return room
 }
 
 func b2i(b bool) int {
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -2,18 +2,18 @@
 
 // HostInfo is what the owner of a part tells the others about a machine.
 type HostInfo struct {
-	Name      string
-	Rig       string
-	Zone      string
-	Spot      bool
-	SilentS   float64 // since its last report
-	Leaving   bool    // recalled, or about to be returned
-	Retiring  bool    // its owner places nothing on it any more; it may be returned
-	Sick      bool    // fails jobs
-	Lost      bool    // silent while its neighbours report
-	Errors    int     // failures since its last success
-	Images    []string
-	SawJobsOf int64 // unused by the rules; ms since the owner first heard of it
+	Name     string
+	Rig      string
+	Zone     string
+	Spot     bool
+	SilentS  float64 // since its last report
+	Leaving  bool    // recalled, or about to be returned
+	Retiring bool    // its owner places nothing on it any more; it may be returned
+	Sick     bool    // fails jobs
+	Lost     bool    // silent while its neighbours report
+	Errors   int     // failures since its last success
+	Images   []string
+	FetchGB  float64 // images that it is fetching
 }
 
 // Hold says that an owner holds room for its tasks of a gang attempt.
