--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -246,6 +246,7 @@
 	checks    []check
 	gossipAt  Time
 
+	held      []heldReport
 	owner     batch
 	ownerAt   Time
 	results   map[taskKey]result // what became of tasks, not yet in their records
@@ -336,6 +337,7 @@
 	n.claimLeader()
 	n.runChecks()
 	n.ownerTick()
+	n.answerHeld()
 	n.leaderTick()
 	n.gossip(false)
 	n.expireUsers()
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -92,13 +92,13 @@
 		return
 	}
 	// First hear from the owners what there is.
-	if n.now-l.since < 1200*1e6 {
+	if n.now-l.since < 700*1e6 {
 		return
 	}
 	if !l.batch.ready(n) {
 		return
 	}
-	l.at = n.now + 250*1e6
+	l.at = n.now + 120*1e6
 	l.dirty = false
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -229,7 +229,9 @@
 		return
 	}
 	if h.term != p.rev {
-		h.term, h.answered = p.rev, 0
+		h.term, h.answered, h.reports = p.rev, 0, 0
+		n.gossip(true)
+		n.leader.dirty = true
 		h.started = map[taskKey]uint64{}
 	}
 	if h.session != r.Session {
@@ -237,14 +239,95 @@
 	}
 	h.session, h.seq, h.token, h.heard = r.Session, r.Seq, r.Token, n.now
 	h.bounceAt, h.redirectAt = 0, 0
+	h.reports++
 	if r.RecallS != nil {
 		h.leavingAt = n.now + Time(*r.RecallS*float64(second))
 	} else {
 		h.leavingAt = 0
 	}
+	n.ownerAt = 0
 	orders := n.reconcile(p, h, r)
+	if n.worthWaiting(p, h, r, orders) {
+		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + answerPause})
+		return
+	}
+	n.answerWorker(in.Req, p, h, orders)
+}
+
+func (n *Node) answerWorker(req uint64, p *part, h *host, orders []wire.Order) {
 	h.answered = n.now
-	n.emit(Reply{Req: in.Req, Status: 200, Body: wire.ReportReply{Token: p.rev, Orders: orders}})
+	n.emit(Reply{Req: req, Status: 200, Body: wire.ReportReply{Token: p.rev, Orders: orders}})
+}
+
+// answerPause is how long an answer may wait for the records to be written
+// that follow from the report. The worker's next report is seconds away, so
+// orders that miss this answer leave the machine idle for as long.
+const answerPause = 600 * 1e6
+
+// heldReport is a report whose answer waits.
+type heldReport struct {
+	Reported
+	part  *part
+	host  *host
+	term  uint64
+	until Time
+}
+
+// worthWaiting tells whether orders are likely to follow within the pause:
+// when tasks have just ended, and when the machine is new.
+func (n *Node) worthWaiting(p *part, h *host, r *wire.Report, orders []wire.Order) bool {
+	for _, o := range orders {
+		if o.Op != wire.OrderClear {
+			return false // has something to do at once
+		}
+	}
+	if len(h.jobs) == 0 && len(r.Tasks) == 0 {
+		return h.reports <= 2
+	}
+	return n.pendingResults(h)
+}
+
+// pendingResults tells whether the end of a task on the machine still has to
+// be written to its record.
+func (n *Node) pendingResults(h *host) bool {
+	for _, jx := range h.jobs {
+		for _, a := range n.jobs[jx].rec.Active {
+			if a.Host == h.name {
+				if _, ended := n.results[taskKey{jx, a.Task, a.Attempt}]; ended {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// answerHeld answers reports that have waited for their records.
+func (n *Node) answerHeld() {
+	n.held = slices.DeleteFunc(n.held, func(q heldReport) bool {
+		p, h := q.part, q.host
+		if p.rev != q.term || !n.valid(p) || h.session != q.Report.Session || h.seq != q.Report.Seq {
+			n.redirect(q.Req, p, h)
+			return true
+		}
+		if n.now < q.until && (n.pendingResults(h) || !n.startsWaiting(h)) {
+			return false
+		}
+		n.answerWorker(q.Req, p, h, n.reconcile(p, h, q.Report))
+		return true
+	})
+}
+
+// startsWaiting tells whether a placed task has not reached the machine.
+func (n *Node) startsWaiting(h *host) bool {
+	for _, jx := range h.jobs {
+		for _, a := range n.jobs[jx].rec.Active {
+			if _, there := h.tasks[taskKey{jx, a.Task, a.Attempt}]; a.Host == h.name && !there {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (n *Node) redirect(req uint64, p *part, h *host) {
@@ -451,7 +534,7 @@
 	if n.now < n.ownerAt {
 		return
 	}
-	n.ownerAt = n.now + 100*1e6
+	n.ownerAt = n.now + 60*1e6
 	anyValid := false
 	for _, p := range n.parts {
 		if n.valid(p) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -24,6 +24,7 @@
 	term         uint64 // the term in which the following was learnt
 	session, seq uint64
 	token        uint64
+	reports      int  // heard in this term
 	heard        Time // last report in this term
 	answered     Time // last report answered with 200
 	leavingAt    Time // when the cloud takes it away; 0: not announced
