--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sound = `{"label":"n0","site":"a","bind":"127.0.0.1:1","cluster_listen":"127.0.0.1:2",
+ "peers":[{"label":"n1","site":"b","address":"127.0.0.1:3"}],
+ "external":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"}, "new_field":true,
+ "deployment":{"size":2,"zones":["a","b"],"teams":[{"name":"red","gpus":4,"gpus_max":8}],
+  "workers":{"report_s":3,"lease_s":30,"gang_wait_s":35,"gang_peer_s":8,"cancel_s":55},
+  "state":{"rps":250,"write_rps":20,"value_kb":8,"txn_ops":12},"cloud":{"rps":2,"list_lag_s":4},
+  "limits":{"core_share":0.1,"mem_mb":125,"fd_limit":1200},"clock_error_ms":1000}}`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestSoundSettings(t *testing.T) {
+	s, err := Load(write(t, "s.json", sound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := s.Deployment.Workers
+	lease, cancel := Seconds(w.LeaseS), Seconds(w.CancelS)
+	if v := s.Validity(); v <= 0 || v+lease+Margin(lease) >= cancel {
+		t.Errorf("validity %v, a worker lease of %v and the margin reach cancel_s %v", v, lease, cancel)
+	}
+}
+
+// Every fault is named at once, so that operators need not find them one by
+// one.
+func TestEveryFaultIsNamed(t *testing.T) {
+	var m map[string]any
+	if err := json.Unmarshal([]byte(sound), &m); err != nil {
+		t.Fatal(err)
+	}
+	m["label"] = ""
+	m["bind"] = "nowhere"
+	d := m["deployment"].(map[string]any)
+	d["size"] = 5
+	d["zones"] = []string{"b"}
+	d["workers"].(map[string]any)["cancel_s"] = 31
+	d["teams"].([]any)[0].(map[string]any)["gpus"] = 9
+	d["state"].(map[string]any)["rps"] = 0
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Load(write(t, "s.json", string(b)))
+	if err == nil {
+		t.Fatal("faulty settings were taken")
+	}
+	for _, want := range []string{"label is missing", "bind", "size is 5", `site "a"`, "cancel_s", "team red", "state.rps"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not named in:\n%v", want, err)
+		}
+	}
+}
+
+func TestOperatorSettings(t *testing.T) {
+	op, err := LoadOperator(write(t, "o.ini", "[placement]\nidle_return_s = 90\npreempt = false\n"))
+	if err != nil || op.IdleReturnS != 90 || op.Preempt || op.SpareMachines != DefaultOperator().SpareMachines {
+		t.Errorf("got %+v, %v", op, err)
+	}
+	for _, bad := range []string{"[placement]\nidle = 3\n", "[other]\nx = 1\n", "[placement]\nidle_return_s = soon\n", "[placement]\nspare_machines = -1\n"} {
+		if op, err := LoadOperator(write(t, "o.ini", bad)); err == nil {
+			t.Errorf("%q was taken as %+v", bad, op)
+		}
+	}
+}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -161,8 +161,8 @@
 	for _, h := range n.hosts {
 		if h.part == p.ix && h.bounceAt > 0 && n.now-h.bounceAt < 12*second {
 			bounced++
-			if first == 0 || h.bounceAt < first {
-				first = h.bounceAt
+			if first == 0 || h.bounceFrom < first {
+				first = h.bounceFrom
 			}
 		}
 	}
@@ -332,7 +332,15 @@
 
 func (n *Node) redirect(req uint64, p *part, h *host) {
 	if n.loaded && p.rec != nil && p.rec.Owner != n.cfg.Self {
-		if d := n.now - h.redirectAt; h.redirectAt > 0 && d > second*7/10 && d < 15*second {
+		// It was sent to its owner and is back, or its owner has told us that
+		// it hears nothing from it: it can't reach its owner.
+		back := n.now - h.redirectAt
+		bounced := h.redirectAt > 0 && back > second*7/10 && back < 15*second
+		unheard := h.info.Name != "" && n.now-h.infoAt > 2*n.cfg.Report && n.now-h.infoAt < 2*n.cfg.Lease
+		if bounced || unheard {
+			if h.bounceAt == 0 || n.now-h.bounceAt > 12*second {
+				h.bounceFrom = n.now
+			}
 			h.bounceAt = n.now
 		}
 		h.redirectAt = n.now
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -44,7 +44,7 @@
 	idleSince Time
 	returned  bool
 
-	redirectAt, bounceAt Time
+	redirectAt, bounceAt, bounceFrom Time // see redirect
 }
 
 type taskKey struct {
--- /dev/null
+++ b/internal/world/rules.go
@@ -0,0 +1,123 @@
+package world
+
+import (
+	"time"
+
+	"micaport/internal/wire"
+)
+
+// present walks over the tasks that are on machines, in a fixed order. Tasks
+// that still fetch their image count, which is stricter than the protocol.
+func (w *World) present(f func(k *workerSim, t *taskSim)) {
+	for _, name := range sortedKeys(w.workers) {
+		k := w.workers[name]
+		if k.off {
+			continue
+		}
+		for _, key := range sortedKeys(k.tasks) {
+			if t := k.tasks[key]; t.state != wire.TaskEnded {
+				f(k, t)
+			}
+		}
+	}
+}
+
+// started checks the rules that a start can break.
+func (w *World) started(k *workerSim, t *taskSim) {
+	sp := &t.u.spec
+	w.Starts[t.ref]++
+	zones := map[string]int{}
+	cores, cards := 0.0, 0.0
+	w.present(func(k2 *workerSim, x *taskSim) {
+		if x != t && x.ref == t.ref && x.task == t.task {
+			w.broke("ran_twice", "%s/%d: attempt %d on %s, attempt %d on %s", t.ref, t.task, t.attempt, k.m.Name, x.attempt, k2.m.Name)
+		}
+		if x.ref == t.ref {
+			zones[k2.m.Zone]++
+		}
+		if x.u.spec.Team == sp.Team {
+			cores += x.u.spec.Cores
+			cards += x.u.spec.Cards
+		}
+	})
+	for _, team := range w.Teams {
+		if team.Name == sp.Team && (team.CardsMax > 0 && cards > team.CardsMax+1e-6 || team.CoresMax > 0 && cores > team.CoresMax+1e-6) {
+			w.broke("quota", "%s uses %v cards and %v cores", sp.Team, cards, cores)
+		}
+	}
+	switch {
+	case k.m.Spot && !sp.Spot:
+		w.broke("wrong_place", "%s on a spot machine", t.ref)
+	case sp.Zone != "" && sp.Zone != k.m.Zone:
+		w.broke("wrong_place", "%s in zone %s", t.ref, k.m.Zone)
+	case sp.SameZone && len(zones) > 1:
+		w.broke("wrong_place", "%s in zones %v", t.ref, zones)
+	case sp.Spread && zones[k.m.Zone] > (sp.Frames+1)/2:
+		w.broke("wrong_place", "%s has %d of %d tasks in zone %s", t.ref, zones[k.m.Zone], sp.Frames, k.m.Zone)
+	}
+	if t.u.withdrawn > 0 && w.now-t.u.withdrawn > w.Cancel {
+		w.broke("ran_cancelled", "%s started %v after", t.ref, w.now-t.u.withdrawn)
+	}
+}
+
+// check looks at the world every second.
+func (w *World) check() {
+	served, mute := 0, 0
+	for _, ref := range sortedKeys(w.users) {
+		u := w.users[ref]
+		if !u.accepted {
+			continue
+		}
+		if w.now-u.lastOK > 90*time.Second {
+			mute++
+		} else if w.now-u.lastOK < 6*time.Second {
+			served++
+		}
+	}
+	if mute > 0 && served > mute {
+		w.broke("forgotten", "%d jobs get no answers while %d do", mute, served)
+	}
+	w.present(func(k *workerSim, t *taskSim) {
+		if u := t.u; u.withdrawn > 0 && w.now-u.withdrawn > w.Cancel {
+			w.broke("ran_cancelled", "%s/%d on %s %v after (%s)", t.ref, t.task, k.m.Name, w.now-u.withdrawn, t.state)
+		}
+	})
+	for _, name := range sortedKeys(w.workers) {
+		k := w.workers[name]
+		if k.off || k.hung {
+			continue
+		}
+		for _, key := range sortedKeys(k.tasks) {
+			w.gangTask(k, k.tasks[key])
+		}
+	}
+}
+
+// gangTask plays a gang task's view of its peers.
+func (w *World) gangTask(k *workerSim, t *taskSim) {
+	if t.u == nil || t.u.spec.Shape != wire.ShapeGang {
+		return
+	}
+	switch t.state {
+	case wire.TaskGathering:
+		if w.now-t.since > w.GangWait {
+			k.end(t, wire.CauseAlone)
+		} else {
+			w.gather(t)
+		}
+	case wire.TaskRunning:
+		peers := 0
+		w.present(func(k2 *workerSim, x *taskSim) {
+			if x.ref == t.ref && x.attempt == t.attempt && !k2.hung && (x.state == wire.TaskRunning || x.state == wire.TaskSaving) {
+				peers++
+			}
+		})
+		if peers == t.u.spec.Frames || w.done[wire.TaskName(t.ref, t.task)] {
+			t.lostAt = 0
+		} else if t.lostAt == 0 {
+			t.lostAt = w.now
+		} else if w.now-t.lostAt > w.GangPeer {
+			k.end(t, wire.CausePeers)
+		}
+	}
+}
--- /dev/null
+++ b/internal/world/scenario.go
@@ -0,0 +1,402 @@
+package world
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"micaport/internal/wire"
+)
+
+// A scenario is a text file: a comment that says what is guarded against,
+// then the sections
+//
+//	-- world --   settings, one "name value..." a line
+//	-- script --  "at SECONDS VERB ARGUMENTS" lines, in any order
+//	-- seeds --   how many seeds to play it with; 1 if absent
+//
+// The verbs are those of run below.
+
+// Play runs a scenario with every seed and reports what went wrong.
+func Play(a *txtar.Archive, trace func(string, ...any)) []string {
+	seeds := 1
+	var world, script string
+	for _, f := range a.Files {
+		switch f.Name {
+		case "world":
+			world = string(f.Data)
+		case "script":
+			script = string(f.Data)
+		case "seeds":
+			n, err := strconv.Atoi(strings.TrimSpace(string(f.Data)))
+			if err != nil {
+				return []string{"seeds: " + err.Error()}
+			}
+			seeds = n
+		default:
+			return []string{"unknown section " + f.Name}
+		}
+	}
+	for seed := 1; seed <= seeds; seed++ {
+		s := Defaults()
+		s.Seed = uint64(seed)
+		if err := s.read(world); err != nil {
+			return []string{"world: " + err.Error()}
+		}
+		w := New(s, trace)
+		if faults := w.script(script); len(faults) > 0 {
+			return append([]string{fmt.Sprintf("seed %d:", seed)}, faults...)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) read(text string) error {
+	for _, line := range lines(text) {
+		f := strings.Fields(line)
+		num := func() float64 {
+			x, _ := strconv.ParseFloat(f[1], 64)
+			return x
+		}
+		if len(f) < 2 {
+			return fmt.Errorf("bad line %q", line)
+		}
+		switch f[0] {
+		case "nodes":
+			s.Nodes = f[1:]
+		case "zones":
+			s.Zones = f[1:]
+		case "capacity":
+			s.Capacity = int(num())
+		case "boot_s":
+			s.Boot = secs(num())
+		case "idle_s":
+			s.Idle = secs(num())
+		case "txn_ops":
+			s.TxnOps = int(num())
+		case "value_bytes":
+			s.ValueBytes = int(num())
+		default:
+			return fmt.Errorf("unknown setting %s", f[0])
+		}
+	}
+	return nil
+}
+
+func secs(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+func lines(text string) []string {
+	var out []string
+	for _, l := range strings.Split(text, "\n") {
+		if l = strings.TrimSpace(l); l != "" && !strings.HasPrefix(l, "#") {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// script plays the lines and collects failed expectations and broken rules.
+func (w *World) script(text string) []string {
+	var faults []string
+	last := time.Duration(0)
+	for _, line := range lines(text) {
+		f := strings.Fields(line)
+		if len(f) < 3 || f[0] != "at" {
+			return []string{fmt.Sprintf("bad line %q", line)}
+		}
+		at, err := strconv.ParseFloat(f[1], 64)
+		if err != nil {
+			return []string{fmt.Sprintf("bad time in %q", line)}
+		}
+		last = max(last, secs(at))
+		w.after(secs(at), func() {
+			if err := w.verb(f[2], f[3:]); err != nil {
+				faults = append(faults, fmt.Sprintf("%s: %v", line, err))
+			}
+		})
+	}
+	w.Run(last + time.Millisecond)
+	return append(faults, w.Broken...)
+}
+
+// verb runs one line of a script.
+func (w *World) verb(verb string, args []string) error {
+	num := func(i int) float64 {
+		if i >= len(args) {
+			return 0
+		}
+		x, _ := strconv.ParseFloat(args[i], 64)
+		return x
+	}
+	dur := func(i int) time.Duration { return secs(num(i)) }
+	switch verb {
+	case "submit":
+		return w.submitLine(args)
+	case "withdraw":
+		w.Withdraw(args[0])
+	case "repeat": // submit a known job once more
+		w.users[args[0]].submit(w.now)
+	case "crash": // controller, seconds until it is back
+		w.Crash(int(num(0)), dur(1))
+	case "outage":
+		w.Outage(dur(0))
+	case "refuse": // controller, seconds
+		w.Refuse(int(num(0)), dur(1))
+	case "cut": // two ends, seconds, perhaps "hold"
+		w.Cut(args[0], args[1], dur(2), len(args) > 3 && args[3] == "hold")
+	case "cloud-outage":
+		w.cloud.outage = true
+		w.after(dur(0), func() { w.cloud.outage = false })
+	case "no-capacity":
+		w.cloud.short = true
+		w.after(dur(0), func() { w.cloud.short = false })
+	case "lossy": // share lost, share late, seconds
+		w.loss, w.late, w.lossTo = num(0), num(1), w.now+dur(2)
+	case "hang", "take", "sick", "recall":
+		return w.machineVerb(verb, args)
+	case "storm": // seconds
+		w.storm(w.now + dur(0))
+	case "bulk": // COUNT jobs submitted one a second
+		for i := range int(num(0)) {
+			ref := fmt.Sprintf("wk-%06d", 900000+i)
+			w.after(time.Duration(i)*time.Second, func() { _ = w.submitLine(append([]string{ref}, args[1:]...)) })
+		}
+	case "expect":
+		return w.expect(args)
+	default:
+		return fmt.Errorf("unknown verb")
+	}
+	return nil
+}
+
+func (w *World) submitLine(args []string) error {
+	s := wire.Spec{Ref: args[0], Class: "c", Team: "wide", Shape: "array", Urgency: "standard", Frames: 1,
+		Cores: 4, Cards: 1, MemoryGB: 16, Image: "img", ImageGB: 2, ExpectedS: 20, CheckpointS: 5, SaveS: 2, Spot: true}
+	run, fails := 20*time.Second, false
+	for _, a := range args[1:] {
+		k, v, _ := strings.Cut(a, "=")
+		x, _ := strconv.ParseFloat(v, 64)
+		switch k {
+		case "shape":
+			s.Shape = v
+			if v == wire.ShapeDaemon {
+				s.ExpectedS, s.CheckpointS, s.SaveS = 0, 0, 0
+			}
+		case "team":
+			s.Team = v
+		case "urgency":
+			s.Urgency = v
+		case "frames":
+			s.Frames = int(x)
+		case "cards":
+			s.Cards = x
+		case "cores":
+			s.Cores = x
+		case "image":
+			s.Image = v
+		case "gb":
+			s.ImageGB = x
+		case "zone":
+			s.Zone = v
+		case "rig":
+			s.Rigs = []string{v}
+		case "one_zone":
+			s.SameZone = true
+		case "spread":
+			s.Spread = true
+		case "ordinary":
+			s.Spot = false
+		case "no-checkpoints":
+			s.CheckpointS, s.SaveS = 0, 0
+		case "run":
+			run = secs(x)
+		case "fails":
+			fails = true
+		default:
+			return fmt.Errorf("unknown attribute %s", k)
+		}
+	}
+	w.Submit(s, run)
+	w.users[s.Ref].fails = fails
+	return nil
+}
+
+// machineVerb does something to the machine that has a task, or to some
+// machine: TASK|any, seconds.
+func (w *World) machineVerb(verb string, args []string) error {
+	var found *workerSim
+	up := w.up()
+	if args[0] == "any" {
+		if len(up) > 0 {
+			found = up[w.rng.IntN(len(up))]
+		}
+	} else {
+		w.present(func(k *workerSim, t *taskSim) {
+			if wire.TaskName(t.ref, t.task) == args[0] {
+				found = k
+			}
+		})
+	}
+	if found == nil {
+		return fmt.Errorf("no such machine")
+	}
+	d := 10.0
+	if len(args) > 1 {
+		d, _ = strconv.ParseFloat(args[1], 64)
+	}
+	w.trouble(verb, found, secs(d))
+	return nil
+}
+
+func (w *World) trouble(verb string, k *workerSim, d time.Duration) {
+	switch verb {
+	case "hang":
+		k.hung = true
+		w.after(d, func() {
+			k.hung = false
+			k.busy, k.urgent = false, true
+			k.tickets++
+			k.lease()
+		})
+	case "take":
+		w.cloud.kill(k.m.Name)
+	case "recall":
+		k.recallAt, k.urgent = w.now+d, true
+		w.after(d, func() { w.cloud.kill(k.m.Name) })
+	case "sick":
+		k.sick = true
+		w.after(d, func() { k.sick = false })
+	}
+}
+
+func (w *World) up() []*workerSim {
+	var up []*workerSim
+	for _, name := range sortedKeys(w.workers) {
+		if k := w.workers[name]; !k.off {
+			up = append(up, k)
+		}
+	}
+	return up
+}
+
+// storm brings random troubles until the given time.
+func (w *World) storm(until time.Duration) {
+	if w.now >= until {
+		return
+	}
+	n := w.rng.IntN(len(w.nodes))
+	d := time.Duration(1+w.rng.IntN(40)) * time.Second
+	up := w.up()
+	pick := func(verb string) {
+		if len(up) > 0 {
+			w.trouble(verb, up[w.rng.IntN(len(up))], d)
+		}
+	}
+	switch w.rng.IntN(13) {
+	case 0, 1:
+		w.Crash(n, min(d, 10*time.Second))
+	case 2:
+		w.Crash(n, 200*time.Millisecond)
+	case 3:
+		w.Outage(min(d, 25*time.Second))
+	case 4:
+		w.Refuse(n, d)
+	case 5:
+		for _, z := range w.Zones {
+			w.Cut(w.nodes[n].label, "zone:"+z, d, w.rng.IntN(2) == 0)
+		}
+	case 6:
+		if len(w.Zones) > 1 {
+			w.Cut("zone:"+w.Zones[0], "zone:"+w.Zones[1], d, w.rng.IntN(2) == 0)
+		}
+	case 7:
+		w.loss, w.late, w.lossTo = 0.2, 0.1, w.now+d
+	case 8:
+		pick("hang")
+	case 9:
+		pick("take")
+	case 10:
+		pick("recall")
+	case 11:
+		pick("sick")
+	case 12:
+		for i := range w.nodes {
+			w.Crash(i, time.Duration(200+w.rng.IntN(6000))*time.Millisecond)
+		}
+	}
+	w.after(time.Duration(2+w.rng.IntN(15))*time.Second, func() { w.storm(until) })
+}
+
+// expect checks "JOB WHAT..." or "machines<=N".
+func (w *World) expect(args []string) error {
+	if k, v, ok := strings.Cut(args[0], "<="); ok && k == "machines" {
+		limit, _ := strconv.Atoi(v)
+		if got := len(w.up()); got > limit {
+			return fmt.Errorf("%d machines", got)
+		}
+		return nil
+	}
+	u := w.users[args[0]]
+	if u == nil {
+		return fmt.Errorf("no such job")
+	}
+	for _, what := range args[1:] {
+		if err := w.expectOne(u, what); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) expectOne(u *userSim, what string) error {
+	count := 0
+	zones, hosts := map[string]bool{}, map[string]bool{}
+	w.present(func(k *workerSim, t *taskSim) {
+		if t.u == u {
+			zones[k.m.Zone], hosts[k.m.Name] = true, true
+			if t.state == wire.TaskRunning {
+				count++
+			}
+		}
+	})
+	number := func(v string) int {
+		x, _ := strconv.Atoi(v)
+		return x
+	}
+	bad := func(got any) error { return fmt.Errorf("want %s, got %v", what, got) }
+	if k, v, ok := strings.Cut(what, "<="); ok {
+		if k == "starts" && w.Starts[u.spec.Ref] > number(v) {
+			return bad(w.Starts[u.spec.Ref])
+		}
+		return nil
+	}
+	k, v, pair := strings.Cut(what, "=")
+	switch {
+	case pair && k == "running":
+		if count != number(v) {
+			return bad(count)
+		}
+	case pair && k == "zones":
+		if len(zones) != number(v) {
+			return bad(len(zones))
+		}
+	case pair && k == "hosts":
+		if len(hosts) != number(v) {
+			return bad(len(hosts))
+		}
+	case pair && k == "code":
+		if len(u.codes) == 0 || u.codes[len(u.codes)-1] != number(v) {
+			return bad(u.codes)
+		}
+	case pair:
+		return fmt.Errorf("unknown expectation")
+	default:
+		if u.status.Status != what {
+			return bad(u.status.Status)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/world/services.go
@@ -0,0 +1,341 @@
+package world
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// store stands in for the state service.
+type store struct {
+	w      *World
+	rev    uint64
+	keys   map[string]*entry
+	leases map[uint64]*leaseSim
+	next   uint64
+	outage bool
+	refuse map[string]int
+	log    []change
+	at     map[string]int // how far each controller's watch has come
+}
+
+type entry struct {
+	raw   []byte
+	rev   uint64
+	lease uint64
+}
+
+type leaseSim struct {
+	ttl  time.Duration
+	ends time.Duration
+}
+
+type change struct {
+	key string
+	raw []byte // nil: dropped
+	rev uint64
+}
+
+type put struct {
+	key   string
+	raw   []byte
+	lease uint64
+}
+
+func newStore(w *World) *store {
+	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]*leaseSim{}, refuse: map[string]int{}, at: map[string]int{}}
+	w.every(100*time.Millisecond, s.expire)
+	return s
+}
+
+func encodeWrites(ws []core.Write) []put {
+	var out []put
+	for _, x := range ws {
+		p := put{key: x.Key, lease: x.Lease}
+		if x.Value != nil {
+			raw, err := wire.Encode(x.Value)
+			must(err)
+			p.raw = raw
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func (s *store) refuses(n *node) bool { return s.outage || s.refuse[n.label] > 0 }
+
+func (s *store) commit(conds []core.Cond, puts []put) (core.Outcome, uint64) {
+	if s.outage {
+		return core.Refused, 0
+	}
+	if len(puts) > s.w.TxnOps || len(conds) > 4*s.w.TxnOps {
+		s.w.broke("limits", "transaction with %d writes and %d conditions", len(puts), len(conds))
+	}
+	for _, p := range puts {
+		if len(p.raw) > s.w.ValueBytes {
+			s.w.broke("limits", "value of %s has %d bytes", p.key, len(p.raw))
+		}
+		if p.lease != 0 && s.leases[p.lease] == nil {
+			return core.BadLease, s.rev
+		}
+	}
+	for _, c := range conds {
+		have := uint64(0)
+		if e := s.keys[c.Key]; e != nil {
+			have = e.rev
+		}
+		if have != c.Rev {
+			return core.Conflict, s.rev
+		}
+	}
+	if len(puts) == 0 {
+		return core.OK, s.rev
+	}
+	s.rev++
+	for _, p := range puts {
+		s.apply(p, s.rev)
+	}
+	s.notify()
+	return core.OK, s.rev
+}
+
+func (s *store) apply(p put, rev uint64) {
+	if p.raw == nil {
+		if s.keys[p.key] == nil {
+			return
+		}
+		delete(s.keys, p.key)
+	} else {
+		s.keys[p.key] = &entry{raw: p.raw, rev: rev, lease: p.lease}
+	}
+	s.log = append(s.log, change{p.key, p.raw, rev})
+}
+
+func (s *store) lease(id uint64, ttl time.Duration) (core.Outcome, uint64) {
+	if s.outage {
+		return core.Refused, 0
+	}
+	if id == 0 {
+		s.next++
+		s.leases[s.next] = &leaseSim{ttl: ttl, ends: s.w.now + ttl}
+		return core.OK, s.next
+	}
+	l := s.leases[id]
+	if l == nil {
+		return core.Missing, 0
+	}
+	l.ends = s.w.now + l.ttl
+	return core.OK, 0
+}
+
+func (s *store) expire() {
+	if s.outage {
+		return
+	}
+	changed := false
+	for id := uint64(1); id <= s.next; id++ {
+		l := s.leases[id]
+		if l == nil || s.w.now < l.ends {
+			continue
+		}
+		delete(s.leases, id)
+		for _, k := range sortedKeys(s.keys) {
+			if s.keys[k].lease == id {
+				if !changed {
+					s.rev++
+					changed = true
+				}
+				s.apply(put{key: k}, s.rev)
+			}
+		}
+	}
+	if changed {
+		s.notify()
+	}
+}
+
+// Outage stops the service for a while; every lease has its full time after.
+func (w *World) Outage(d time.Duration) {
+	s := w.store
+	s.outage = true
+	w.after(d, func() {
+		s.outage = false
+		for _, l := range s.leases {
+			l.ends = w.now + l.ttl
+		}
+		s.notify()
+	})
+}
+
+// Refuse makes the service refuse one controller for a while.
+func (w *World) Refuse(ix int, d time.Duration) {
+	l := w.nodes[ix].label
+	w.store.refuse[l]++
+	w.after(d, func() { w.store.refuse[l]--; w.store.notify() })
+}
+
+func decode(key string, raw []byte) any {
+	var v any
+	switch {
+	case strings.HasPrefix(key, wire.JobPrefix):
+		v = new(wire.Job)
+	case strings.HasPrefix(key, wire.PartPrefix):
+		v = new(wire.Part)
+	case strings.HasPrefix(key, wire.GangPrefix):
+		v = new(wire.Gang)
+	case key == wire.LeaderKey:
+		v = new(wire.Leader)
+	case key == wire.TypesKey:
+		v = new(wire.Types)
+	default:
+		return nil
+	}
+	must(wire.Decode(raw, v))
+	return v
+}
+
+// list gives a starting controller all there is, then lets its watch go on.
+func (s *store) list(n *node, life int) {
+	s.at[n.label] = -1
+	s.w.after(s.w.latency(), func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if s.refuses(n) {
+			s.w.after(200*time.Millisecond, func() {
+				if n.life == life && n.up {
+					s.list(n, life)
+				}
+			})
+			return
+		}
+		c := core.Changes{Reset: true, Rev: s.rev}
+		for _, k := range sortedKeys(s.keys) {
+			e := s.keys[k]
+			c.Events = append(c.Events, core.Event{Key: k, Rev: e.rev, Value: decode(k, e.raw)})
+		}
+		s.at[n.label] = len(s.log)
+		n.step(c)
+	})
+}
+
+// notify sends each watch what it has not seen, in order.
+func (s *store) notify() {
+	for _, n := range s.w.nodes {
+		life := n.life
+		s.w.after(s.w.latency()+time.Duration(s.w.rng.IntN(40))*time.Millisecond, func() {
+			at := s.at[n.label]
+			if n.life != life || !n.up || s.refuses(n) || at < 0 || at >= len(s.log) {
+				return
+			}
+			c := core.Changes{Rev: s.log[len(s.log)-1].rev}
+			for _, x := range s.log[at:] {
+				e := core.Event{Key: x.key, Rev: x.rev}
+				if x.raw != nil {
+					e.Value = decode(x.key, x.raw)
+				}
+				c.Events = append(c.Events, e)
+			}
+			s.at[n.label] = len(s.log)
+			n.step(c)
+		})
+	}
+}
+
+// cloud stands in for the machine rental.
+type cloud struct {
+	w      *World
+	hires  map[string][]string
+	hosts  map[string]*machine
+	count  int
+	outage bool
+	short  bool
+	flavor wire.Flavor
+}
+
+type machine struct {
+	wire.Machine
+	born time.Duration
+	dead bool
+}
+
+func newCloud(w *World) *cloud {
+	return &cloud{w: w, hires: map[string][]string{}, hosts: map[string]*machine{},
+		flavor: wire.Flavor{Name: "g2", Cores: 16, Cards: 2, MemoryGB: 64, CacheGB: 60, FetchGBs: 0.5,
+			Price: 6, SpotPrice: 2, BootS: w.Boot.Seconds(), Zones: w.Zones}}
+}
+
+func (c *cloud) call(q core.Cloud) any {
+	r := core.Clouded{ID: q.ID, Outcome: core.OK}
+	switch {
+	case q.Flavors:
+		r.Flavors = []wire.Flavor{c.flavor}
+	case q.List:
+		for _, name := range sortedKeys(c.hosts) {
+			m := c.hosts[name]
+			if age := c.w.now - m.born; !m.dead && age > 4*time.Second {
+				row := m.Machine
+				row.AgeS = age.Seconds()
+				r.Machines = append(r.Machines, row)
+			}
+		}
+	case q.Hire != nil:
+		if got, known := c.hires[q.Hire.Name]; known {
+			r.Hosts = got
+			break
+		}
+		r.Hosts = c.hire(q.Hire)
+		if len(r.Hosts) == 0 {
+			r.Outcome = core.Full
+			break
+		}
+		c.hires[q.Hire.Name] = r.Hosts
+	case q.Return != nil:
+		for _, name := range q.Return {
+			c.kill(name)
+		}
+	}
+	return r
+}
+
+func (c *cloud) hire(h *wire.Hire) []string {
+	have := 0
+	for _, m := range c.hosts {
+		if !m.dead && m.Zone == h.Zone && m.Spot == h.Spot {
+			have++
+		}
+	}
+	var out []string
+	for range h.Count {
+		if have >= c.w.Capacity || c.short {
+			break
+		}
+		have++
+		name := fmt.Sprintf("vm-%06d", c.count)
+		c.count++
+		m := &machine{Machine: wire.Machine{Name: name, Addr: name + ":1", Rig: h.Rig, Zone: h.Zone, Spot: h.Spot, Status: wire.MachineBooting}, born: c.w.now}
+		c.hosts[name] = m
+		out = append(out, name)
+		boot := time.Duration(float64(c.w.Boot) * (0.6 + 0.9*c.w.rng.Float64()))
+		c.w.after(boot, func() {
+			if !m.dead {
+				m.Status = wire.MachineRunning
+				c.w.bootWorker(m)
+			}
+		})
+	}
+	return out
+}
+
+func (c *cloud) kill(name string) {
+	if m := c.hosts[name]; m != nil {
+		m.dead = true
+	}
+	if k := c.w.workers[name]; k != nil {
+		k.off = true
+		k.tasks = map[string]*taskSim{}
+	}
+}
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,419 @@
+// Package world is a stand-in for everything around the controllers: the
+// state service, the cloud, the workers, the users and the network between
+// them. It runs any number of controller cores in simulated time, drops,
+// delays, repeats and reorders what passes between them under a seed, and
+// checks the rules of the protocol after every step. Only tests use it.
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// Settings of a world, with the defaults of Defaults.
+type Settings struct {
+	Seed       uint64
+	Nodes      []string // the zone of each controller
+	Zones      []string
+	Teams      []core.Team
+	Report     time.Duration
+	Lease      time.Duration
+	GangWait   time.Duration
+	GangPeer   time.Duration
+	Cancel     time.Duration
+	Validity   time.Duration
+	Boot       time.Duration
+	Capacity   int // machines of each kind in each zone
+	TxnOps     int
+	ValueBytes int
+	Idle       time.Duration
+}
+
+// Defaults are those of a small deployment.
+func Defaults() Settings {
+	return Settings{
+		Seed: 1, Nodes: []string{"a", "b", "a"}, Zones: []string{"a", "b"},
+		Teams: []core.Team{
+			{Name: "red", Cards: 4, CardsMax: 8}, {Name: "blue", Cards: 4, CardsMax: 8}, {Name: "wide", CardsMax: 1000},
+		},
+		Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 35 * time.Second,
+		GangPeer: 8 * time.Second, Cancel: 55 * time.Second, Validity: 20 * time.Second,
+		Boot: 10 * time.Second, Capacity: 6, TxnOps: 12, ValueBytes: 8 << 10, Idle: 40 * time.Second,
+	}
+}
+
+// World is the simulation.
+type World struct {
+	Settings
+	now   time.Duration
+	queue events
+	seq   int
+	rng   *rand.Rand
+
+	nodes   []*node
+	store   *store
+	cloud   *cloud
+	workers map[string]*workerSim
+	users   map[string]*userSim
+	done    map[string]bool // tasks that have completed, by name
+
+	loss   float64         // share of requests that get lost, answered or not
+	late   float64         // share of requests that are carried out much later
+	cuts   map[string]int  // pairs of ends that can't reach each other
+	lossTo time.Duration   // until when loss and late hold
+	held   map[string]bool // cuts that deliver what they held
+
+	// Broken lists broken rules; a test fails when there are any.
+	Broken []string
+	// Starts counts starts of tasks by job.
+	Starts map[string]int
+	trace  func(string, ...any)
+}
+
+type node struct {
+	w     *World
+	ix    int
+	label string
+	zone  string
+	core  *core.Node
+	up    bool
+	life  int
+	boot  time.Duration
+	drift float64
+	wait  map[uint64]func(core.Reply)
+	req   uint64
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].seq < e[k].seq
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+
+// Push and Pop serve container/heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// New makes a world whose controllers start at once.
+func New(s Settings, trace func(string, ...any)) *World {
+	w := &World{
+		Settings: s, rng: rand.New(rand.NewPCG(s.Seed, 7)),
+		workers: map[string]*workerSim{}, users: map[string]*userSim{}, done: map[string]bool{},
+		cuts: map[string]int{}, held: map[string]bool{}, Starts: map[string]int{},
+		trace: trace,
+	}
+	w.store = newStore(w)
+	w.cloud = newCloud(w)
+	for i, z := range s.Nodes {
+		n := &node{w: w, ix: i, label: fmt.Sprintf("n%d", i), zone: z, drift: 1 + 0.0005*float64(i)/float64(len(s.Nodes))}
+		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	w.every(time.Second, w.check)
+	return w
+}
+
+func (w *World) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *World) every(d time.Duration, do func()) {
+	w.after(d, func() { do(); w.every(d, do) })
+}
+
+// Run plays until the given time, or until a rule is broken.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && len(w.Broken) == 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = max(w.now, until)
+}
+
+func (w *World) broke(rule, format string, a ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%.3fs %s: %s", w.now.Seconds(), rule, fmt.Sprintf(format, a...)))
+}
+
+func (w *World) latency() time.Duration {
+	return time.Millisecond + time.Duration(w.rng.IntN(6000))*time.Microsecond
+}
+
+// cut says whether two ends can't reach each other now. Ends are controllers
+// and workers by name, zones as "zone:a", and "store" and "cloud".
+func (w *World) cut(a, za, b, zb string) bool {
+	for _, x := range []string{a, "zone:" + za} {
+		for _, y := range []string{b, "zone:" + zb} {
+			if w.cuts[x+"|"+y] > 0 || w.cuts[y+"|"+x] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *World) holds(a, za, b, zb string) bool {
+	for _, x := range []string{a, "zone:" + za} {
+		for _, y := range []string{b, "zone:" + zb} {
+			if w.held[x+"|"+y] || w.held[y+"|"+x] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Cut separates two ends for a while; with hold, what is sent meanwhile
+// arrives afterwards.
+func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	k := a + "|" + b
+	w.cuts[k]++
+	w.held[k] = hold
+	w.after(d, func() {
+		if w.cuts[k]--; w.cuts[k] == 0 {
+			delete(w.held, k)
+		}
+	})
+}
+
+func (n *node) start() {
+	w := n.w
+	n.up, n.boot = true, w.now
+	n.life++
+	n.wait = map[uint64]func(core.Reply){}
+	cfg := core.Config{
+		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
+		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait, GangPeer: w.GangPeer,
+		Validity: w.Validity, LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
+		ListLag: 4 * time.Second, IdleReturn: w.Idle, Spares: 1, Preempt: true,
+		WallMS: func() int64 { return w.now.Milliseconds() }, Seed: w.Seed*100 + uint64(n.ix),
+	}
+	for _, m := range w.nodes {
+		cfg.Members = append(cfg.Members, core.Member{Label: m.label, Zone: m.zone})
+	}
+	n.core = core.New(cfg)
+	life := n.life
+	w.store.list(n, life)
+	var tick func()
+	tick = func() {
+		if n.life != life || !n.up {
+			return
+		}
+		n.step(core.Tick{})
+		w.after(50*time.Millisecond, tick)
+	}
+	w.after(time.Duration(n.ix)*7*time.Millisecond, tick)
+}
+
+// Crash ends a controller; it comes back after d.
+func (w *World) Crash(ix int, d time.Duration) {
+	n := w.nodes[ix]
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.wait = nil
+	w.after(d, n.start)
+}
+
+func (n *node) step(in any) {
+	if !n.up {
+		return
+	}
+	local := time.Duration(float64(n.w.now-n.boot) * n.drift)
+	for _, e := range n.core.Step(local, in) {
+		n.perform(e)
+	}
+}
+
+// deliver gives an input to the same life of the controller after a delay.
+func (n *node) deliver(d time.Duration, in any) {
+	life := n.life
+	n.w.after(d, func() {
+		if n.life == life {
+			n.step(in)
+		}
+	})
+}
+
+// fate decides what becomes of a request: whether and when it is carried
+// out, and whether the answer arrives.
+func (w *World) fate() (carried time.Duration, runs, answered bool) {
+	if w.now < w.lossTo {
+		x := w.rng.Float64()
+		switch {
+		case x < w.late:
+			return time.Duration(w.rng.IntN(60000)) * time.Millisecond, true, false
+		case x < w.late+w.loss/2:
+			return 0, false, false
+		case x < w.late+w.loss:
+			return w.latency(), true, false
+		}
+	}
+	return w.latency(), true, true
+}
+
+// call runs a request of a controller against a service.
+func (n *node) call(run func() any, lost any, refused func() any) {
+	w := n.w
+	if r := refused(); r != nil {
+		n.deliver(w.latency(), r)
+		return
+	}
+	d, runs, answered := w.fate()
+	life := n.life
+	if runs {
+		w.after(d, func() {
+			in := run()
+			if answered && n.life == life {
+				n.deliver(w.latency(), in)
+			}
+		})
+	}
+	if !answered {
+		n.deliver(1500*time.Millisecond, lost)
+	}
+}
+
+func (n *node) perform(e any) {
+	w := n.w
+	switch x := e.(type) {
+	case core.Commit:
+		puts := encodeWrites(x.Writes)
+		n.call(func() any {
+			out, rev := w.store.commit(x.If, puts)
+			return core.Committed{ID: x.ID, Outcome: out, Rev: rev}
+		}, core.Committed{ID: x.ID, Outcome: core.Unknown}, func() any {
+			if w.store.refuses(n) {
+				return core.Committed{ID: x.ID, Outcome: core.Refused}
+			}
+			return nil
+		})
+	case core.Read:
+		n.call(func() any {
+			r := core.GotJob{ID: x.ID, Outcome: core.Missing}
+			if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
+				r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
+				must(wire.Decode(k.raw, r.Job))
+			}
+			return r
+		}, core.GotJob{ID: x.ID, Outcome: core.Unknown}, func() any {
+			if w.store.refuses(n) {
+				return core.GotJob{ID: x.ID, Outcome: core.Refused}
+			}
+			return nil
+		})
+	case core.Lease:
+		n.call(func() any {
+			out, id := w.store.lease(x.Lease, x.TTL)
+			return core.Leased{ID: x.ID, Outcome: out, Lease: id}
+		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, func() any {
+			if w.store.refuses(n) {
+				return core.Leased{ID: x.ID, Outcome: core.Refused}
+			}
+			return nil
+		})
+	case core.Cloud:
+		n.call(func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
+			if w.cloud.outage {
+				return core.Clouded{ID: x.ID, Outcome: core.Refused}
+			}
+			return nil
+		})
+	case core.Send:
+		for _, m := range w.nodes {
+			if m.label == x.To && !w.cut(n.label, n.zone, m.label, m.zone) {
+				if w.now < w.lossTo && w.rng.Float64() < w.loss {
+					continue
+				}
+				msg := *x.Msg
+				m.deliver(w.latency(), core.Gossiped{Msg: &msg})
+			}
+		}
+	case core.Forward:
+		n.forward(x)
+	case core.Log:
+		w.trace("%8.3f %s %s %v", w.now.Seconds(), n.label, x.Text, x.Args)
+	case core.Reply:
+		if f := n.wait[x.Req]; f != nil {
+			delete(n.wait, x.Req)
+			f(x)
+		}
+	}
+}
+
+func (n *node) forward(x core.Forward) {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.label != x.To {
+			continue
+		}
+		if !m.up || w.cut(n.label, n.zone, m.label, m.zone) {
+			break
+		}
+		life := n.life
+		m.ask(func(req uint64) any {
+			return core.UserRequest{Req: req, Kind: x.Call.Kind, Ref: x.Call.Ref, Body: x.Call.Body, Forwarded: true}
+		}, func(r core.Reply) {
+			b, err := wire.Encode(r.Body)
+			must(err)
+			if n.life == life {
+				n.deliver(w.latency(), core.Forwarded{Req: x.Req, Answer: wire.UserAnswer{Status: r.Status, Body: b}})
+			}
+		})
+		return
+	}
+	n.deliver(time.Second, core.Forwarded{Req: x.Req})
+}
+
+// ask gives a request to a controller; reply is called at most once.
+func (n *node) ask(input func(req uint64) any, reply func(core.Reply)) {
+	life := n.life
+	n.w.after(n.w.latency(), func() {
+		if n.life != life || !n.up {
+			return
+		}
+		n.req++
+		n.wait[n.req] = reply
+		n.step(input(n.req))
+	})
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
