--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -27,6 +27,11 @@
 		}
 	}
 	m.Hosts = n.ownInfo()
+	for _, h := range n.hosts {
+		if h.redirectAt > 0 && n.now-h.redirectAt < strayFor {
+			m.Strays = append(m.Strays, h.name)
+		}
+	}
 	if n.leads() {
 		m.Retire = n.leader.retireList(n)
 		m.Returned = n.leader.returned
@@ -72,7 +77,7 @@
 		i := wire.HostInfo{
 			Name: h.name, Rig: h.rig, Zone: h.zone, Spot: h.spot, SilentS: silent.Seconds(),
 			Leaving: h.leavingAt > 0, Retiring: h.retiring, Sick: h.sick, Errors: len(h.errJobs),
-			Lost: silent > 3*n.cfg.Report+second && 2*fresh[h.part] >= all[h.part],
+			Lost: n.lost(h, silent, 2*fresh[h.part] > all[h.part]),
 		}
 		i.FetchGB = n.fetchGB(h)
 		for im := range n.images.Len() {
@@ -86,6 +91,35 @@
 	return out
 }
 
+// strayFor is how long a machine counts as having come to a controller that
+// does not own it.
+const strayFor = 12 * second
+
+// lost tells whether a silent machine is dead or hangs, rather than cut from
+// us: its neighbours still report, or it has not turned to any peer either.
+func (n *Node) lost(h *host, silent Time, neighbours bool) bool {
+	if silent < 3*n.cfg.Report+second {
+		return false
+	}
+	if neighbours {
+		return true
+	}
+	heard := false
+	for _, m := range n.cfg.Members {
+		p := n.peers[m.Label]
+		if p == nil || n.now-p.at > 3*second {
+			continue
+		}
+		heard = true
+		if contains(p.msg.Strays, h.name) {
+			return false
+		}
+	}
+	// A worker that can't reach us has tried a peer by now: a report, its
+	// patience of 4 s, a pause, and the peer's next message.
+	return heard && silent > 2*n.cfg.Report+7*second
+}
+
 // fetchGB sums the images that a machine is fetching, or about to.
 func (n *Node) fetchGB(h *host) float64 {
 	seen := map[int]bool{}
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -349,6 +349,13 @@
 		if _, seen := c.idleFrom[h.name]; !seen {
 			c.idleFrom[h.name] = n.now
 		}
+		if s.errors > 0 {
+			// It failed a job and nothing has succeeded since: no spare.
+			if n.now-c.idleFrom[h.name] > min(10*second, n.cfg.IdleReturn) {
+				c.retiring[h.name] = true
+			}
+			continue
+		}
 		x := pool{h.rig, h.zone, h.spot}
 		if spares[x]++; spares[x] <= n.cfg.Spares {
 			continue
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -524,6 +524,7 @@
 		if len(h.errJobs) >= 2 || countDone(j.rec.DoneSet) > 0 {
 			h.sick = true
 		}
+		n.gossip(true) // before more is granted to it
 	case wire.CauseFull:
 		h.fullUntil = n.now + 2*n.cfg.Report
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -185,6 +185,11 @@
 		if !s.allowed(j.rec.Spec) || !s.fits(j.rec.Spec) || (ok != nil && !ok(s)) {
 			continue
 		}
+		// A machine that failed the job is not tried again before others have
+		// failed it too, and it is the job that is at fault.
+		if s.h != nil && len(j.rec.Avoid) < 3 && contains(j.rec.Avoid, s.h.name) {
+			continue
+		}
 		if v := n.score(j, s); found == nil || v < foundScore {
 			found, foundScore = s, v
 		}
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -40,7 +40,7 @@
 	Tries    []Hold   // leader: gang attempts that wait for holds, confirmed if OK
 	Retire   []string // leader: machines to be emptied for return
 	Returned []string // leader: machines the cloud has confirmed gone
-	Bounced  []int    // parts whose workers come here since they can't reach their owner
+	Strays   []string // machines of others' parts that came here lately
 }
 
 // UserCall is a user's request handed to a peer that can reach the state service.
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -15,18 +15,20 @@
 	run       time.Duration
 	fails     bool // a job submitted with a mistake
 	accepted  bool
-	told      string        // last status that may not change, or the latest
+	told      string        // the last status heard
+	toldAt    time.Duration // when
 	withdrawn time.Duration // when told; 0 if not
 	asked     bool          // the user has asked to withdraw
 	status    wire.JobStatus
 	lastCode  int
 	lastOK    time.Duration
 	codes     []int
+	only      int // the controller it asks; -1: any
 }
 
 // Submit has a user submit a job, repeatedly until it is accepted.
 func (w *World) Submit(s wire.Spec, run time.Duration) {
-	u := &userSim{w: w, spec: s, run: run}
+	u := &userSim{w: w, spec: s, run: run, only: -1}
 	w.users[s.Ref] = u
 	u.submit(w.now)
 	w.every(5*time.Second, u.poll)
@@ -54,6 +56,9 @@
 // at asks some controller that is up; code 0 means that no answer came.
 func (w *World) at(kind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if u := w.users[ref]; u != nil && u.only >= 0 {
+		n = w.nodes[u.only]
+	}
 	answered := false
 	get := func(r core.Reply) {
 		if !answered {
@@ -67,20 +72,23 @@
 	}
 }
 
-func (u *userSim) submit(first time.Duration) {
-	u.w.at("submit", u.spec.Ref, u.body(), 5*time.Second, func(r core.Reply) {
+func (u *userSim) submit(first time.Duration) { u.send(first, u.body()) }
+
+func (u *userSim) send(first time.Duration, body []byte) {
+	asked := u.w.now
+	u.w.at("submit", u.spec.Ref, body, 5*time.Second, func(r core.Reply) {
 		u.codes = append(u.codes, r.Status)
 		switch {
 		case r.Status == 200 || r.Status == 201:
 			u.accepted = true
 			u.lastOK = u.w.now
-			u.hear(r)
+			u.hear(asked, r)
 		case r.Status == 400 || r.Status == 422:
 			if u.accepted {
 				u.w.broke("forgotten", "%s: repeat got %d", u.spec.Ref, r.Status)
 			}
 		case u.w.now-first < 60*time.Second:
-			u.w.after(time.Second, func() { u.submit(first) })
+			u.w.after(time.Second, func() { u.send(first, body) })
 		}
 	})
 }
@@ -89,12 +97,13 @@
 	if !u.accepted {
 		return
 	}
+	asked := u.w.now
 	u.w.at("poll", u.spec.Ref, nil, 2*time.Second, func(r core.Reply) {
 		u.lastCode = r.Status
 		switch r.Status {
 		case 200:
 			u.lastOK = u.w.now
-			u.hear(r)
+			u.hear(asked, r)
 		case 404:
 			u.w.broke("forgotten", "%s: 404 after it was accepted", u.spec.Ref)
 		}
@@ -102,7 +111,7 @@
 }
 
 // hear checks an answer against what the user was told before.
-func (u *userSim) hear(r core.Reply) {
+func (u *userSim) hear(asked time.Duration, r core.Reply) {
 	var s wire.JobStatus
 	switch b := r.Body.(type) {
 	case wire.JobStatus:
@@ -110,6 +119,9 @@
 	case []byte:
 		must(wire.Decode(b, &s))
 	}
+	if asked < u.toldAt {
+		return // asked before the last answer came; may be older
+	}
 	u.status = s
 	if (u.told == wire.StatusDone || u.told == wire.StatusWithdrawn) && s.Status != u.told {
 		u.w.broke("went_back", "%s: %s after %s", u.spec.Ref, s.Status, u.told)
@@ -125,19 +137,20 @@
 			}
 		}
 	}
-	u.told = s.Status
+	u.told, u.toldAt = s.Status, u.w.now
 }
 
 // Withdraw has a job's user withdraw it, repeatedly until told so.
 func (w *World) Withdraw(ref string) {
 	u := w.users[ref]
 	u.asked = true
+	asked := w.now
 	w.at("withdraw", ref, nil, 5*time.Second, func(r core.Reply) {
 		if r.Status != 200 {
 			w.after(time.Second, func() { w.Withdraw(ref) })
 			return
 		}
-		u.hear(r)
+		u.hear(asked, r)
 		if u.told == wire.StatusWithdrawn && u.withdrawn == 0 {
 			u.withdrawn = w.now
 		}
@@ -263,6 +276,12 @@
 		return
 	}
 	if w.now < w.lossTo && w.rng.Float64() < w.loss {
+		// Lost, or held back and delivered much later, to a controller that
+		// may have taken over meanwhile.
+		w.after(time.Duration(w.rng.IntN(60000))*time.Millisecond, func() {
+			m := w.nodes[w.rng.IntN(len(w.nodes))]
+			m.ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
+		})
 		return
 	}
 	n.ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(a core.Reply) {
--- a/internal/world/rules.go
+++ b/internal/world/rules.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"time"
 
 	"micaport/internal/wire"
@@ -26,6 +27,11 @@
 func (w *World) started(k *workerSim, t *taskSim) {
 	sp := &t.u.spec
 	w.Starts[t.ref]++
+	name := fmt.Sprintf("%s/%d#%d", t.ref, t.task, t.attempt)
+	if at := w.attempts[name]; at != "" && at != k.m.Name {
+		w.broke("attempt_recurs", "%s on %s and then on %s", name, at, k.m.Name)
+	}
+	w.attempts[name] = k.m.Name
 	zones := map[string]int{}
 	cores, cards := 0.0, 0.0
 	w.present(func(k2 *workerSim, x *taskSim) {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -139,6 +139,16 @@
 		w.Withdraw(args[0])
 	case "repeat": // submit a known job once more
 		w.users[args[0]].submit(w.now)
+	case "repeat-faulty": // submit a known job's id with nothing else
+		body, err := wire.Encode(map[string]any{"ref": args[0]})
+		if err != nil {
+			return err
+		}
+		w.users[args[0]].send(w.now, body)
+	case "stick": // a user asks one controller only
+		w.users[args[0]].only = int(num(1))
+	case "deaf": // controller, seconds for which its watch hangs
+		w.Deafen(int(num(0)), dur(1))
 	case "crash": // controller, seconds until it is back
 		w.Crash(int(num(0)), dur(1))
 	case "outage":
@@ -146,7 +156,15 @@
 	case "refuse": // controller, seconds
 		w.Refuse(int(num(0)), dur(1))
 	case "cut": // two ends, seconds, perhaps "hold"
-		w.Cut(args[0], args[1], dur(2), len(args) > 3 && args[3] == "hold")
+		a := args[0]
+		if task, ok := strings.CutPrefix(a, "host:"); ok {
+			k := w.hostOf(task)
+			if k == nil {
+				return fmt.Errorf("no such machine")
+			}
+			a = k.m.Name
+		}
+		w.Cut(a, args[1], dur(2), len(args) > 3 && args[3] == "hold")
 	case "cloud-outage":
 		w.cloud.outage = true
 		w.after(dur(0), func() { w.cloud.outage = false })
@@ -159,10 +177,15 @@
 		return w.machineVerb(verb, args)
 	case "storm": // seconds
 		w.storm(w.now + dur(0))
-	case "bulk": // COUNT jobs submitted one a second
+	case "bulk": // COUNT jobs, one a second, each withdrawn SECONDS later if not 0
 		for i := range int(num(0)) {
-			ref := fmt.Sprintf("wk-%06d", 900000+i)
-			w.after(time.Duration(i)*time.Second, func() { _ = w.submitLine(append([]string{ref}, args[1:]...)) })
+			ref := fmt.Sprintf("wk-%06d", 900000+w.bulk)
+			w.bulk++
+			w.after(time.Duration(i)*time.Second, func() {
+				if w.submitLine(append([]string{ref}, args[2:]...)) == nil && num(1) > 0 {
+					w.after(dur(1)+time.Duration(w.rng.IntN(2000))*time.Millisecond, func() { w.Withdraw(ref) })
+				}
+			})
 		}
 	case "expect":
 		return w.expect(args)
@@ -234,11 +257,7 @@
 			found = up[w.rng.IntN(len(up))]
 		}
 	} else {
-		w.present(func(k *workerSim, t *taskSim) {
-			if wire.TaskName(t.ref, t.task) == args[0] {
-				found = k
-			}
-		})
+		found = w.hostOf(args[0])
 	}
 	if found == nil {
 		return fmt.Errorf("no such machine")
@@ -251,6 +270,17 @@
 	return nil
 }
 
+// hostOf finds the machine that a task is on.
+func (w *World) hostOf(task string) *workerSim {
+	var found *workerSim
+	w.present(func(k *workerSim, t *taskSim) {
+		if wire.TaskName(t.ref, t.task) == task {
+			found = k
+		}
+	})
+	return found
+}
+
 func (w *World) trouble(verb string, k *workerSim, d time.Duration) {
 	switch verb {
 	case "hang":
@@ -295,7 +325,7 @@
 			w.trouble(verb, up[w.rng.IntN(len(up))], d)
 		}
 	}
-	switch w.rng.IntN(13) {
+	switch w.rng.IntN(15) {
 	case 0, 1:
 		w.Crash(n, min(d, 10*time.Second))
 	case 2:
@@ -322,6 +352,10 @@
 		pick("recall")
 	case 11:
 		pick("sick")
+	case 13:
+		w.loss, w.late, w.lossTo = 0.1, 0.3, w.now+d
+	case 14:
+		w.Deafen(n, d)
 	case 12:
 		for i := range w.nodes {
 			w.Crash(i, time.Duration(200+w.rng.IntN(6000))*time.Millisecond)
@@ -339,6 +373,14 @@
 		}
 		return nil
 	}
+	if args[0] == "sick=0" {
+		for _, k := range w.up() {
+			if k.sick {
+				return fmt.Errorf("%s is sick and still there", k.m.Name)
+			}
+		}
+		return nil
+	}
 	u := w.users[args[0]]
 	if u == nil {
 		return fmt.Errorf("no such job")
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -18,6 +18,7 @@
 	next   uint64
 	outage bool
 	refuse map[string]int
+	deaf   map[string]int // controllers whose watch hangs
 	log    []change
 	at     map[string]int // how far each controller's watch has come
 }
@@ -46,7 +47,7 @@
 }
 
 func newStore(w *World) *store {
-	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]*leaseSim{}, refuse: map[string]int{}, at: map[string]int{}}
+	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]*leaseSim{}, refuse: map[string]int{}, deaf: map[string]int{}, at: map[string]int{}}
 	w.every(100*time.Millisecond, s.expire)
 	return s
 }
@@ -177,6 +178,13 @@
 	w.after(d, func() { w.store.refuse[l]--; w.store.notify() })
 }
 
+// Deafen makes the watch of one controller hang for a while.
+func (w *World) Deafen(ix int, d time.Duration) {
+	l := w.nodes[ix].label
+	w.store.deaf[l]++
+	w.after(d, func() { w.store.deaf[l]--; w.store.notify() })
+}
+
 func decode(key string, raw []byte) any {
 	var v any
 	switch {
@@ -228,7 +236,7 @@
 		life := n.life
 		s.w.after(s.w.latency()+time.Duration(s.w.rng.IntN(40))*time.Millisecond, func() {
 			at := s.at[n.label]
-			if n.life != life || !n.up || s.refuses(n) || at < 0 || at >= len(s.log) {
+			if n.life != life || !n.up || s.refuses(n) || s.deaf[n.label] > 0 || at < 0 || at >= len(s.log) {
 				return
 			}
 			c := core.Changes{Rev: s.log[len(s.log)-1].rev}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -70,9 +70,12 @@
 	held   map[string]bool // cuts that deliver what they held
 
 	// Broken lists broken rules; a test fails when there are any.
-	Broken []string
+	Broken   []string
+	attempts map[string]string // the machine of every attempt of a task
+
 	// Starts counts starts of tasks by job.
 	Starts map[string]int
+	bulk   int
 	trace  func(string, ...any)
 }
 
@@ -120,7 +123,7 @@
 	w := &World{
 		Settings: s, rng: rand.New(rand.NewPCG(s.Seed, 7)),
 		workers: map[string]*workerSim{}, users: map[string]*userSim{}, done: map[string]bool{},
-		cuts: map[string]int{}, held: map[string]bool{}, Starts: map[string]int{},
+		cuts: map[string]int{}, held: map[string]bool{}, Starts: map[string]int{}, attempts: map[string]string{},
 		trace: trace,
 	}
 	w.store = newStore(w)
