--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -58,14 +58,17 @@
 	if first < 0 {
 		return -1
 	}
-	f := fnv.New32a()
+	f := fnv.New64a()
 	f.Write([]byte(name))
-	// Names differ in their last digits; mix so that those decide evenly.
-	v := f.Sum32()
-	v ^= v >> 15
-	v *= 0x2c1b3c6d
-	v ^= v >> 12
-	return first + int(v%uint32(count))
+	// Names differ in their last digits only, and FNV leaves those in the low
+	// bits of neighbours alike: mix all bits before taking the remainder.
+	v := f.Sum64()
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	v ^= v >> 33
+	v *= 0xc4ceb9fe1a85ec53
+	v ^= v >> 33
+	return first + int(v%uint64(count))
 }
 
 func (n *Node) partNamed(key string) *part {
@@ -84,6 +87,13 @@
 	was := p.rec
 	p.rec, p.rev, p.since = rec, rev, n.now
 	p.proven, p.base = false, 0
+	// What machines did under the last owner says nothing about this one.
+	// Kept, it made two peers take the part from each other in turns.
+	for _, h := range n.hosts {
+		if h.part == p.ix {
+			h.redirectAt, h.bounceAt = 0, 0
+		}
+	}
 	if rec != nil && rec.Owner == n.cfg.Self && rec.Life == n.cfg.Life {
 		// An owner whose key went with its lease had stopped before, and an
 		// earlier life of ours is dead. One that we took over by a new claim
@@ -174,7 +184,7 @@
 		wait = 4 * second
 	}
 	switch {
-	case bounced >= 2 && n.now-first > 2*second+wait:
+	case bounced >= 2 && n.now-first > 2*second+wait && waited > 10*second:
 		n.log(1, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
 		return true
 	case deaf && bounced >= 1 && waited > 5*second+wait:
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -27,8 +27,8 @@
 }
 
 // Submit has a user submit a job, repeatedly until it is accepted.
-func (w *World) Submit(s wire.Spec, run time.Duration) {
-	u := &userSim{w: w, spec: s, run: run, only: -1}
+func (w *World) Submit(s wire.Spec, run time.Duration, only int) {
+	u := &userSim{w: w, spec: s, run: run, only: only}
 	w.users[s.Ref] = u
 	u.submit(w.now)
 	w.every(5*time.Second, u.poll)
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/tools/txtar"
 
+	"micaport/internal/core"
 	"micaport/internal/wire"
 )
 
@@ -147,6 +148,18 @@
 		w.users[args[0]].send(w.now, body)
 	case "stick": // a user asks one controller only
 		w.users[args[0]].only = int(num(1))
+	case "stash": // keep a machine's report as it is now, to be delivered late
+		k := w.hostOf(args[0])
+		if args[0] == "any" {
+			k = w.up()[0]
+		}
+		if k == nil {
+			return fmt.Errorf("no such machine")
+		}
+		w.stashed = k.snapshot()
+	case "deliver": // the kept report, to a controller
+		r := w.stashed
+		w.nodes[int(num(0))].ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
 	case "deaf": // controller, seconds for which its watch hangs
 		w.Deafen(int(num(0)), dur(1))
 	case "crash": // controller, seconds until it is back
@@ -198,7 +211,7 @@
 func (w *World) submitLine(args []string) error {
 	s := wire.Spec{Ref: args[0], Class: "c", Team: "wide", Shape: "array", Urgency: "standard", Frames: 1,
 		Cores: 4, Cards: 1, MemoryGB: 16, Image: "img", ImageGB: 2, ExpectedS: 20, CheckpointS: 5, SaveS: 2, Spot: true}
-	run, fails := 20*time.Second, false
+	run, fails, only := 20*time.Second, false, -1
 	for _, a := range args[1:] {
 		k, v, _ := strings.Cut(a, "=")
 		x, _ := strconv.ParseFloat(v, 64)
@@ -236,13 +249,15 @@
 			s.CheckpointS, s.SaveS = 0, 0
 		case "run":
 			run = secs(x)
+		case "ask":
+			only = int(x)
 		case "fails":
 			fails = true
 		default:
 			return fmt.Errorf("unknown attribute %s", k)
 		}
 	}
-	w.Submit(s, run)
+	w.Submit(s, run, only)
 	w.users[s.Ref].fails = fails
 	return nil
 }
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -257,6 +257,7 @@
 type cloud struct {
 	w      *World
 	hires  map[string][]string
+	asked  map[string]wire.Hire
 	hosts  map[string]*machine
 	count  int
 	outage bool
@@ -271,7 +272,7 @@
 }
 
 func newCloud(w *World) *cloud {
-	return &cloud{w: w, hires: map[string][]string{}, hosts: map[string]*machine{},
+	return &cloud{w: w, hires: map[string][]string{}, asked: map[string]wire.Hire{}, hosts: map[string]*machine{},
 		flavor: wire.Flavor{Name: "g2", Cores: 16, Cards: 2, MemoryGB: 64, CacheGB: 60, FetchGBs: 0.5,
 			Price: 6, SpotPrice: 2, BootS: w.Boot.Seconds(), Zones: w.Zones}}
 }
@@ -292,6 +293,9 @@
 		}
 	case q.Hire != nil:
 		if got, known := c.hires[q.Hire.Name]; known {
+			if c.asked[q.Hire.Name] != *q.Hire {
+				c.w.broke("hire_reused", "%s for %+v and %+v", q.Hire.Name, c.asked[q.Hire.Name], *q.Hire)
+			}
 			r.Hosts = got
 			break
 		}
@@ -300,7 +304,7 @@
 			r.Outcome = core.Full
 			break
 		}
-		c.hires[q.Hire.Name] = r.Hosts
+		c.hires[q.Hire.Name], c.asked[q.Hire.Name] = r.Hosts, *q.Hire
 	case q.Return != nil:
 		for _, name := range q.Return {
 			c.kill(name)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -74,9 +74,10 @@
 	attempts map[string]string // the machine of every attempt of a task
 
 	// Starts counts starts of tasks by job.
-	Starts map[string]int
-	bulk   int
-	trace  func(string, ...any)
+	Starts  map[string]int
+	bulk    int
+	stashed *wire.Report
+	trace   func(string, ...any)
 }
 
 type node struct {
