Room about to be free on a machine that failed the job is no room for it

A daemon's replica waited for ever for room on a machine it would not be put on again: the planner counted that machine as room on its way.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -110,6 +110,16 @@
 	return rigAllowed(sp, s.rig) && (sp.Zone == "" || sp.Zone == s.zone) && (sp.Spot || !s.spot)
 }
 
+// suits tells whether a job's tasks may go to the machine at all. One that
+// failed the job is not tried again before others have failed it too, and it
+// is the job that is at fault.
+func (s *slot) suits(j *job) bool {
+	if s.h != nil && len(j.rec.Avoid) < 3 && contains(j.rec.Avoid, s.h.name) {
+		return false
+	}
+	return s.allowed(j.rec.Spec)
+}
+
 // slotOf computes the room on a machine from the records: whatever a record
 // places there is there until it is proven gone.
 func (n *Node) slotOf(h *host) *slot {
@@ -182,12 +192,7 @@
 	var found *slot
 	var foundScore float64
 	for _, s := range slots {
-		if !s.allowed(j.rec.Spec) || !s.fits(j.rec.Spec) || (ok != nil && !ok(s)) {
-			continue
-		}
-		// A machine that failed the job is not tried again before others have
-		// failed it too, and it is the job that is at fault.
-		if s.h != nil && len(j.rec.Avoid) < 3 && contains(j.rec.Avoid, s.h.name) {
+		if !s.suits(j) || !s.fits(j.rec.Spec) || (ok != nil && !ok(s)) {
 			continue
 		}
 		if v := n.score(j, s); found == nil || v < foundScore {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -179,7 +179,7 @@
 	p.blocked(j)
 	// Room on its way counts before machines still to come.
 	for _, s := range p.slots {
-		if s.allowed(sp) && s.fitsSoon(sp) && ok(s) {
+		if s.suits(j) && s.fitsSoon(sp) && ok(s) {
 			took(s)
 			return true
 		}
@@ -227,7 +227,7 @@
 	p.blocked(j)
 	if len(w.tasks) == 1 {
 		for _, s := range p.slots {
-			if s.allowed(sp) && s.fitsSoon(sp) {
+			if s.suits(j) && s.fitsSoon(sp) {
 				s.take(sp)
 				return
 			}
@@ -308,7 +308,7 @@
 		c := choice{zone: zone}
 		for _, list := range [][]*slot{p.slots, p.hope} {
 			for _, s := range list {
-				if zone != "" && s.zone != zone || !s.allowed(sp) {
+				if zone != "" && s.zone != zone || !s.suits(w.j) {
 					continue
 				}
 				for len(c.got) < len(w.tasks) && s.fitsSoon(sp) {
@@ -374,7 +374,7 @@
 	var room *slot
 	bestCost := 0.0
 	for _, s := range p.slots {
-		if s.h == nil || !s.allowed(sp) || !ok(s) || s.reserved {
+		if s.h == nil || !s.suits(w.j) || !ok(s) || s.reserved {
 			continue
 		}
 		var list []victim
