Make room for gangs in the cheapest zone, spare idle ordinary machines

Cause: a gang of whole machines waited minutes while tasks that may run on spot machines broke into ordinary ones.

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -138,9 +138,7 @@
 		chosen = append(chosen, s)
 	}
 	for _, s := range chosen {
-		s.cores += sp.Cores
-		s.cards += sp.Cards
-		s.mem += sp.MemoryGB
+		s.give(sp, 1)
 	}
 	if len(chosen) < len(tasks) {
 		return nil
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -17,7 +17,8 @@
 	prio  int
 	// Leader's memory; lost without harm.
 	blockedSince Time
-	preemptAt    Time // not before this is anything stopped for it again
+	gangZone     string // where room is being made for it
+	preemptAt    Time   // not before this is anything stopped for it again
 	seenAt       Time
 	notBefore    Time
 	errorsSeen   int
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -106,6 +106,16 @@
 	s.mem -= sp.MemoryGB
 }
 
+// give returns what k tasks have taken.
+func (s *slot) give(sp *wire.Spec, k int) {
+	s.cores += sp.Cores * float64(k)
+	s.cards += sp.Cards * float64(k)
+	s.mem += sp.MemoryGB * float64(k)
+}
+
+// untouched tells whether nothing runs on the machine.
+func (s *slot) untouched() bool { return s.cores == s.rigRef.Cores && s.cards == s.rigRef.Cards }
+
 func (s *slot) allowed(sp *wire.Spec) bool {
 	return rigAllowed(sp, s.rig) && (sp.Zone == "" || sp.Zone == s.zone) && (sp.Spot || !s.spot)
 }
@@ -160,7 +170,8 @@
 	if s.rigRef != nil && s.rigRef.FetchGBs > 0 {
 		rate = s.rigRef.FetchGBs
 	}
-	t := (sp.ImageGB + s.fetchGB) / rate
+	// Whether images share the rate differs from site to site.
+	t := (sp.ImageGB + s.fetchGB/3) / rate
 	if s.h != nil {
 		for _, jx := range s.h.jobs {
 			if n.jobs[jx].image == j.image {
@@ -177,6 +188,9 @@
 	sp := j.rec.Spec
 	v := n.fetchS(j, s)
 	v += 3 * (s.cards - sp.Cards) // pack
+	if sp.Spot && !s.spot && s.untouched() {
+		v += 40
+	}
 	if sp.Spot && !s.spot {
 		v += 20 // keep ordinary machines for those that need them
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -154,7 +154,11 @@
 		zones[s.zone]++
 		w.tasks = w.tasks[1:]
 	}
+	reluctant := p.keepsOrdinary(w)
 	ok := func(s *slot) bool {
+		if reluctant && s.h != nil && !s.spot && s.untouched() {
+			return false
+		}
 		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
 			return false
 		}
@@ -202,6 +206,30 @@
 	return true
 }
 
+// keepsOrdinary tells whether a task that may run on spot machines should
+// rather wait for one than break into an ordinary machine that nothing uses:
+// those are for whole-machine gangs and daemons, and cost several times more.
+func (p *plan) keepsOrdinary(w *want) bool {
+	j, sp := w.j, w.j.rec.Spec
+	if !sp.Spot || j.prio >= 2 || j.blockedSince > 0 && p.n.now-j.blockedSince > patienceForSpot {
+		return false
+	}
+	for _, s := range p.hope {
+		if s.spot && s.suits(j) && s.fits(sp) {
+			return true
+		}
+	}
+	for _, x := range p.pools(sp) {
+		if x.spot && p.open(x) {
+			return true
+		}
+	}
+	return false
+}
+
+// patienceForSpot is about the time that a machine takes to boot and more.
+const patienceForSpot = 40 * second
+
 func (p *plan) blocked(j *job) {
 	if j.blockedSince == 0 {
 		j.blockedSince = p.n.now
@@ -284,9 +312,7 @@
 		chosen = append(chosen, s)
 	}
 	for _, s := range chosen {
-		s.cores += sp.Cores
-		s.cards += sp.Cards
-		s.mem += sp.MemoryGB
+		s.give(sp, 1)
 	}
 	if len(chosen) < len(w.tasks) {
 		return nil, 0
@@ -294,58 +320,110 @@
 	return chosen, worst
 }
 
-// awaitGang reserves room for a gang that does not fit yet: what is free or
-// about to be in the zone that lacks the fewest machines, and hires the rest.
+// awaitGang makes room for a gang that does not fit yet, in the zone where
+// that costs least: it keeps what is free, about to be free or booting, hires,
+// stops work that it may stop, and as the last resort keeps machines from
+// being filled again until what runs there has ended.
 func (p *plan) awaitGang(w *want) {
 	sp := w.j.rec.Spec
+	type source struct {
+		s       *slot
+		victims []victim
+		drain   bool
+		cost    float64
+	}
 	type choice struct {
-		zone  string
-		got   []*slot
-		short int
+		zone string
+		from []source
+		hire int
+		cost float64
 	}
 	var best *choice
-	consider := func(zone string) {
-		c := choice{zone: zone}
-		for _, list := range [][]*slot{p.slots, p.hope} {
-			for _, s := range list {
-				if zone != "" && s.zone != zone || !s.suits(w.j) {
-					continue
-				}
-				for len(c.got) < len(w.tasks) && s.fitsSoon(sp) {
-					s.take(sp)
-					c.got = append(c.got, s)
+	mayEvict := p.mayPreempt(w)
+	canTake := func(zone string) *choice {
+		c := &choice{zone: zone}
+		var all []source
+		add := func(s *slot, cost float64) {
+			taken := 0
+			for s.fitsSoon(sp) {
+				s.take(sp)
+				taken++
+				all = append(all, source{s: s, cost: cost})
+			}
+			s.give(sp, taken)
+		}
+		for _, s := range p.slots {
+			if zone != "" && s.zone != zone || !s.suits(w.j) || s.reserved {
+				continue
+			}
+			if s.fitsSoon(sp) {
+				add(s, 0)
+				continue
+			}
+			if v, ok := p.clearing(w, s, false); ok && mayEvict {
+				cost := 10.0
+				for _, x := range v {
+					cost += x.cost / 4
 				}
+				all = append(all, source{s: s, victims: v, cost: cost})
+			} else if _, ok := p.clearing(w, s, true); ok {
+				all = append(all, source{s: s, drain: true, cost: 60})
+			}
+		}
+		for _, s := range p.hope {
+			if (zone == "" || s.zone == zone) && s.suits(w.j) {
+				add(s, 15)
+			}
+		}
+		slices.SortStableFunc(all, func(a, b source) int { return int(a.cost) - int(b.cost) })
+		if canHire := p.canHire(sp, zone); canHire {
+			at := slices.IndexFunc(all, func(x source) bool { return x.cost > 30 })
+			if at >= 0 {
+				all = all[:at]
 			}
 		}
-		for _, s := range c.got {
-			s.cores += sp.Cores
-			s.cards += sp.Cards
-			s.mem += sp.MemoryGB
+		c.from = all[:min(len(all), len(w.tasks))]
+		for _, x := range c.from {
+			c.cost += x.cost
 		}
-		c.short = len(w.tasks) - len(c.got)
-		if c.short > 0 && !p.canHire(sp, zone) {
-			c.short += 1000
+		c.hire = len(w.tasks) - len(c.from)
+		c.cost += float64(c.hire) * 30
+		if c.hire > 0 && !p.canHire(sp, zone) {
+			c.cost += 1000 * float64(c.hire)
 		}
-		if best == nil || c.short < best.short {
-			best = &c
+		if zone != "" && zone == w.j.gangZone {
+			c.cost -= 10 // rather go on where room is being made already
 		}
+		return c
 	}
-	if sp.SameZone {
-		for _, z := range p.n.cfg.Zones {
-			if sp.Zone == "" || sp.Zone == z {
-				consider(z)
+	zones := []string{sp.Zone}
+	if sp.SameZone && sp.Zone == "" {
+		zones = p.n.cfg.Zones
+	}
+	for _, z := range zones {
+		if c := canTake(z); best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	w.j.gangZone = best.zone
+	stopped := false
+	for _, x := range best.from {
+		switch {
+		case len(x.victims) > 0:
+			if p.stop(w, x.victims) {
+				stopped = true
 			}
+			x.s.reserved = true
+		case x.drain:
+			x.s.reserved = true
+		default:
+			x.s.take(sp)
 		}
-	} else {
-		consider(sp.Zone)
 	}
-	if best == nil {
-		return
+	if stopped {
+		w.j.preemptAt = p.n.now + 3*p.n.cfg.Report
 	}
-	for _, s := range best.got {
-		s.take(sp)
-	}
-	for i := len(best.got); i < len(w.tasks); i++ {
+	for range best.hire {
 		s := p.hireFor(w, func(s *slot) bool { return best.zone == "" || s.zone == best.zone })
 		if s == nil {
 			return
@@ -354,78 +432,104 @@
 	}
 }
 
+// victim is a task that may be stopped to make room.
+type victim struct {
+	j    *job
+	a    wire.Active
+	cost float64
+}
+
+// mayPreempt tells whether anything may be stopped for w now. What was
+// stopped takes a report or two to go; nothing more is stopped till then.
+func (p *plan) mayPreempt(w *want) bool {
+	n := p.n
+	return n.cfg.Preempt && p.stops < 8 && n.now-w.j.blockedSince >= second && n.now >= w.j.preemptAt &&
+		(w.j.prio >= 2 || w.within)
+}
+
+// clearing lists the tasks to be stopped on a machine so that a task of w
+// fits, cheapest first. With all set it asks instead whether the machine could
+// take the task once everything but daemons has ended.
+func (p *plan) clearing(w *want, s *slot, all bool) ([]victim, bool) {
+	n, sp := p.n, w.j.rec.Spec
+	if s.h == nil {
+		return nil, false
+	}
+	var list []victim
+	for _, jx := range s.h.jobs {
+		v := n.jobs[jx]
+		if v == w.j || v.rec.State != wire.Live || v.rec.Spec.Shape == wire.ShapeDaemon {
+			continue
+		}
+		if !all && (p.w.recs[jx] != nil || !p.mayStop(w, v)) {
+			continue
+		}
+		for _, a := range v.rec.Active {
+			if a.Host == s.h.name && a.Stop == wire.Keep {
+				cost := v.rec.Spec.SaveS + float64(20*v.prio)
+				if v.rec.Spec.CheckpointS == 0 {
+					cost += 100
+				}
+				if v.rec.Spec.Shape == wire.ShapeGang {
+					cost += 30 * float64(len(v.rec.Active)-1)
+				}
+				list = append(list, victim{v, a, cost})
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b victim) int { return int(a.cost*10) - int(b.cost*10) })
+	room := *s
+	fits := func() bool { return room.fitsSoon(sp) }
+	var chosen []victim
+	for _, v := range list {
+		if fits() {
+			break
+		}
+		chosen = append(chosen, v)
+		room.give(v.j.rec.Spec, 1)
+	}
+	return chosen, len(chosen) > 0 && fits()
+}
+
 // preempt stops work to make room for one task: work of lower urgency, or
 // work that another team runs beyond its guarantee when this one is within.
 func (p *plan) preempt(w *want, ok func(*slot) bool) *slot {
-	n := p.n
-	if !n.cfg.Preempt || p.stops >= 4 || n.now-w.j.blockedSince < second || n.now < w.j.preemptAt {
-		return nil
-	}
-	if w.j.prio < 2 && !w.within {
+	if !p.mayPreempt(w) {
 		return nil
 	}
-	sp := w.j.rec.Spec
-	type victim struct {
-		j    *job
-		a    wire.Active
-		cost float64
-	}
 	var best []victim
 	var room *slot
 	bestCost := 0.0
 	for _, s := range p.slots {
-		if s.h == nil || !s.suits(w.j) || !ok(s) || s.reserved {
+		if !s.suits(w.j) || !ok(s) || s.reserved {
 			continue
 		}
-		var list []victim
-		for _, jx := range s.h.jobs {
-			v := n.jobs[jx]
-			if v == w.j || v.rec.State != wire.Live || v.rec.Spec.Shape == wire.ShapeDaemon || p.w.recs[jx] != nil {
-				continue
-			}
-			if !p.mayStop(w, v) {
-				continue
-			}
-			for _, a := range v.rec.Active {
-				if a.Host == s.h.name && a.Stop == wire.Keep {
-					cost := v.rec.Spec.SaveS + float64(20*v.prio)
-					if v.rec.Spec.CheckpointS == 0 {
-						cost += 100
-					}
-					cost += 30 * float64(len(v.rec.Active)-1) * float64(b2i(v.rec.Spec.Shape == wire.ShapeGang))
-					list = append(list, victim{v, a, cost})
-				}
-			}
+		chosen, fits := p.clearing(w, s, false)
+		if !fits {
+			continue
 		}
-		slices.SortStableFunc(list, func(a, b victim) int { return int(a.cost*10) - int(b.cost*10) })
-		cores, cards, mem := s.cores+s.soonCores, s.cards+s.soonCards, s.mem+s.soonMem
-		var chosen []victim
-		cost := n.score(w.j, s)
-		for _, v := range list {
-			if sp.Cores <= cores+eps && sp.Cards <= cards+eps && sp.MemoryGB <= mem+eps {
-				break
-			}
-			chosen = append(chosen, v)
+		cost := p.n.score(w.j, s)
+		for _, v := range chosen {
 			cost += v.cost
-			cores += v.j.rec.Spec.Cores
-			cards += v.j.rec.Spec.Cards
-			mem += v.j.rec.Spec.MemoryGB
-		}
-		if len(chosen) == 0 || !(sp.Cores <= cores+eps && sp.Cards <= cards+eps && sp.MemoryGB <= mem+eps) {
-			continue
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost, room = chosen, cost, s
 		}
 	}
-	if best == nil {
+	if best == nil || !p.stop(w, best) {
 		return nil
 	}
-	for _, v := range best {
+	w.j.preemptAt = p.n.now + 3*p.n.cfg.Report + Time(best[0].j.rec.Spec.SaveS*float64(second))
+	return room
+}
+
+// stop marks tasks to be stopped; a gang is stopped as a whole.
+func (p *plan) stop(w *want, victims []victim) bool {
+	for _, v := range victims {
 		rec := p.w.job(v.j)
 		if rec == nil {
 			p.full = true
-			return nil
+			return false
 		}
 		if v.j.rec.Spec.Shape == wire.ShapeGang {
 			markStop(rec)
@@ -436,12 +540,10 @@
 				}
 			}
 		}
-		n.log(1, "preempting", "job", v.j.ref, "task", v.a.Task, "for", w.j.ref)
+		p.n.log(1, "preempting", "job", v.j.ref, "task", v.a.Task, "for", w.j.ref)
 	}
 	p.stops++
-	// What was stopped takes a report or two to go; stop no more till then.
-	w.j.preemptAt = n.now + 3*n.cfg.Report + Time(best[0].j.rec.Spec.SaveS*float64(second))
-	return room
+	return true
 }
 
 func b2i(b bool) int {
