--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -328,6 +328,11 @@
 		if slices.ContainsFunc(c.hires, func(h *hiring) bool { return h.pool == x }) {
 			continue
 		}
+		if len(p.slots) == 0 {
+			// Nothing runs yet. Boot times differ by more than a factor of
+			// two, so some more machines mean that the first are up sooner.
+			p.hires[x] += (p.hires[x] + 1) / 2
+		}
 		c.hires = append(c.hires, &hiring{pool: x, first: n.now,
 			req: wire.Hire{Name: n.hireName(), Rig: x.rig, Zone: x.zone, Spot: x.spot, Count: min(p.hires[x], 50)}})
 	}
