--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -122,7 +122,7 @@
 		if len(r.Hosts) < h.req.Count {
 			c.backoff[h.pool] = n.now + 10*second
 		}
-		n.log(1, "hired", "rig", h.pool.rig, "zone", h.pool.zone, "spot", h.pool.spot, "wanted", h.req.Count, "got", len(r.Hosts))
+		n.log(1, "hired", "rig", h.pool.rig, "zone", h.pool.zone, "spot", h.pool.spot, "wanted", h.req.Count, "got", r.Hosts)
 	case Full:
 		c.backoff[h.pool] = n.now + 10*second
 	case Refused:
@@ -165,7 +165,7 @@
 				c.booting[m.Name] = b
 			}
 			b.seen = true
-			if r != nil && m.AgeS > 5*r.BootS+30 {
+			if r != nil && m.AgeS > giveUpBoot*r.BootS+5 {
 				back = append(back, m.Name)
 			}
 		default:
@@ -187,6 +187,15 @@
 	}
 }
 
+// A machine boots in up to one and a half times its type's boot time. One that
+// takes longer may take several times as long or never come: it is planned
+// without from then on, and returned a little later if it still has not come,
+// as it costs money and takes the place of another.
+const (
+	lateBoot   = 1.6
+	giveUpBoot = 2.0
+)
+
 // hopedFor lists machines that are on their way, as room to plan with.
 func (n *Node) hopedFor() []*slot {
 	c := &n.leader.cloud
@@ -207,7 +216,7 @@
 			delete(c.booting, name)
 			continue
 		}
-		if r := n.rigOf(b.pool.rig); r != nil && (n.now-b.since).Seconds() > 3*r.BootS+10 {
+		if r := n.rigOf(b.pool.rig); r != nil && (n.now-b.since).Seconds() > lateBoot*r.BootS+3 {
 			continue // late: plan without it
 		}
 		add(b.pool)
