--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -191,8 +191,8 @@
 	if sp.Spot && !s.spot && s.untouched() {
 		v += 40
 	}
-	if sp.Spot && !s.spot {
-		v += 20 // keep ordinary machines for those that need them
+	if sp.Spot && !s.spot && !s.untouched() {
+		v -= 4 // the machine stays anyway; a spot machine may go back
 	}
 	v += 100 * float64(s.errors)
 	if s.h != nil && contains(j.rec.Avoid, s.h.name) {
