A leader that is cut off resigns; room and holds travel by the state service during cuts

Cause: a controller cut from everything but the state service kept the lead and could not hire; a zone cut hid new machines from the leader. Scenarios leader-cut-off and gang-while-owners-are-cut.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"micaport/internal/wire"
@@ -147,6 +148,9 @@
 		n.lookUp(op)
 		return
 	}
+	// Types that nobody offers can't be had; leaving them out bounds the size
+	// of the record whatever the user sends.
+	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.rigOf(name) == nil })
 	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
 	key := wire.JobKey(s.Ref)
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -245,6 +245,7 @@
 	checkAt   Time
 	checks    []check
 	gossipAt  Time
+	roomAt    Time
 
 	held      []heldReport
 	owner     batch
@@ -255,14 +256,17 @@
 
 	refusedSince map[string]Time
 
-	leader leaderState
-	leadAt Time
-	users  userState
+	leader   leaderState
+	leadAt   Time
+	cloudBad Time // since when the cloud has not answered; 0: it does
+	resignAt Time
+	users    userState
 }
 
 type peer struct {
-	at  Time
-	msg *wire.Gossip
+	at      Time
+	msg     *wire.Gossip
+	byStore bool // heard through the state service only
 }
 
 // lease is one lease on the state service.
@@ -436,11 +440,11 @@
 		if !seen[wire.LeaderKey] {
 			n.putLeader(nil, c.Rev)
 		}
-		n.loaded = true
 	}
 	for _, e := range c.Events {
 		n.change(e)
 	}
+	n.loaded = n.loaded || c.Reset
 	n.rev = max(n.rev, c.Rev)
 	n.leader.dirty = true
 	n.settleChecks()
@@ -460,6 +464,10 @@
 		n.putLeader(v, e.Rev)
 	case *wire.Gang:
 		n.putGang(e.Key, v, e.Rev)
+	case *wire.Gossip:
+		if n.loaded { // a listing's may be of long ago
+			n.gossipFromStore(v)
+		}
 	case *wire.Types:
 		if e.Rev >= n.rigRev {
 			n.rigRev = e.Rev
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -47,6 +47,50 @@
 			n.emit(Send{To: p.Label, Msg: m})
 		}
 	}
+	n.gossipByStore(m)
+}
+
+// gossipByStore leaves the message with the state service while some peer
+// can't be heard. Zones that are cut from each other both reach the service,
+// so the leader goes on knowing the machines on the other side. Nothing rests
+// on it: a message that is lost, late or old costs a better choice, no more.
+func (n *Node) gossipByStore(m *wire.Gossip) {
+	if n.now < n.roomAt || !n.storeOK || n.now < 10*second {
+		return
+	}
+	silent := false
+	for _, x := range n.cfg.Members {
+		p := n.peers[x.Label]
+		silent = silent || x.Label != n.cfg.Self && (p == nil || p.byStore || n.now-p.at > 3*second)
+	}
+	if !silent {
+		return
+	}
+	n.roomAt = n.now + n.cfg.Report
+	short := *m
+	// 220 bytes are ample for a machine without its images.
+	if room := n.cfg.ValueBytes/220 - 6; len(short.Hosts) > room {
+		short.Hosts = short.Hosts[:max(room, 0)]
+	}
+	short.Hosts = slices.Clone(short.Hosts)
+	for i := range short.Hosts {
+		short.Hosts[i].Images = nil
+	}
+	short.Returned = short.Returned[max(0, len(short.Returned)-20):]
+	short.Retire = short.Retire[:min(len(short.Retire), 20)]
+	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: &short}}, func(Committed) {})
+}
+
+// gossipFromStore takes a message left with the state service, unless the
+// peer can be heard directly or the message is an old one.
+func (n *Node) gossipFromStore(m *wire.Gossip) {
+	if p := n.peers[m.From]; p != nil && (!p.byStore && n.now-p.at < 3*second || p.msg.Life == m.Life && m.UpS <= p.msg.UpS) {
+		return
+	}
+	n.gossiped(m)
+	if p := n.peers[m.From]; p != nil && p.msg == m {
+		p.byStore = true
+	}
 }
 
 // ownInfo describes the machines of our parts, and keeps the same view that
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -52,7 +52,15 @@
 }
 
 func (n *Node) cloudCall(c Cloud, f func(Clouded)) {
-	c.ID = n.id(func(in any) { f(in.(Clouded)) })
+	c.ID = n.id(func(in any) {
+		r := in.(Clouded)
+		if r.Outcome != Unknown {
+			n.cloudBad = 0
+		} else if n.cloudBad == 0 {
+			n.cloudBad = n.now
+		}
+		f(r)
+	})
 	n.emit(c)
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -64,8 +64,14 @@
 	if l.rec != nil && l.rec.Node != n.cfg.Self {
 		return
 	}
-	if l.rec == nil && n.now-l.since < Time(n.rank())*400*1e6 {
-		return
+	if l.rec == nil {
+		wait := Time(n.rank()) * 400 * 1e6
+		if n.isolated() {
+			wait += 5 * second // let one that reaches more of the world have it
+		}
+		if n.now-l.since < wait {
+			return
+		}
 	}
 	n.leadAt = n.now + 500*1e6
 	rev := l.rev
@@ -81,10 +87,44 @@
 		})
 }
 
+// isolated tells whether we can't reach the cloud, or no other controller.
+// Refusals don't count: they are the same for everyone.
+func (n *Node) isolated() bool {
+	if n.cloudBad > 0 && n.now-n.cloudBad > 4*second {
+		return true
+	}
+	if len(n.cfg.Members) < 2 {
+		return false
+	}
+	for _, p := range n.peers {
+		if !p.byStore && n.now-p.at < 6*second {
+			return false
+		}
+	}
+	return n.now > 6*second
+}
+
+// resign gives the leadership up when we are cut off but the state service
+// still serves us, and some other controller is there to take it.
+func (n *Node) resign() bool {
+	if n.now < n.resignAt || n.now-n.leader.since < 5*second || !n.isolated() {
+		return false
+	}
+	for _, p := range n.peers {
+		if n.now-p.at < 8*second && p.msg.StoreOK {
+			n.resignAt = n.now + 10*second
+			n.log(1, "giving the leadership up: cut off")
+			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(Committed) {})
+			return true
+		}
+	}
+	return false
+}
+
 // leaderTick plans and grants.
 func (n *Node) leaderTick() {
 	l := &n.leader
-	if !n.leads() {
+	if !n.leads() || n.resign() {
 		return
 	}
 	n.cloudTick()
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -167,8 +167,11 @@
 	}
 	// Its workers come here although we send them to their owner.
 	var first Time
-	bounced := 0
+	bounced, known := 0, 0
 	for _, h := range n.hosts {
+		if h.part == p.ix && !h.returned && h.info.Name != "" && n.now-h.infoAt < n.cfg.Lease {
+			known++
+		}
 		if h.part == p.ix && h.bounceAt > 0 && n.now-h.bounceAt < 12*second {
 			bounced++
 			if first == 0 || h.bounceFrom < first {
@@ -184,7 +187,7 @@
 		wait = 4 * second
 	}
 	switch {
-	case bounced >= 2 && n.now-first > 2*second+wait && waited > 10*second:
+	case bounced >= max(1, min(2, known)) && n.now-first > 2*second+wait && waited > 10*second:
 		n.log(1, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
 		return true
 	case deaf && bounced >= 1 && waited > 5*second+wait:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -304,6 +304,8 @@
 		v = new(wire.Part)
 	case strings.HasPrefix(key, wire.GangPrefix):
 		v = new(wire.Gang)
+	case strings.HasPrefix(key, wire.RoomPrefix):
+		v = new(wire.Gossip)
 	case key == wire.LeaderKey:
 		v = new(wire.Leader)
 	case key == wire.TypesKey:
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -2,6 +2,7 @@
 
 // HostInfo is what the owner of a part tells the others about a machine.
 type HostInfo struct {
+	_msgpack struct{} `msgpack:",omitempty"`
 	Name     string
 	Rig      string
 	Zone     string
@@ -18,16 +19,18 @@
 
 // Hold says that an owner holds room for its tasks of a gang attempt.
 type Hold struct {
-	Ref     string
-	Attempt uint64
-	Part    int
-	OK      bool
+	_msgpack struct{} `msgpack:",omitempty"`
+	Ref      string
+	Attempt  uint64
+	Part     int
+	OK       bool
 }
 
 // Gossip is the one message between controllers. It is sent every second and
 // at once when a gang is tried or settled; each field may be lost or repeated
 // without harm, as safety rests on the state service alone.
 type Gossip struct {
+	_msgpack struct{} `msgpack:",omitempty"`
 	From     string
 	Life     string
 	UpS      float64
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -194,6 +194,8 @@
 		v = new(wire.Part)
 	case strings.HasPrefix(key, wire.GangPrefix):
 		v = new(wire.Gang)
+	case strings.HasPrefix(key, wire.RoomPrefix):
+		v = new(wire.Gossip)
 	case key == wire.LeaderKey:
 		v = new(wire.Leader)
 	case key == wire.TypesKey:
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -343,6 +343,9 @@
 		})
 	case core.Cloud:
 		n.call(func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
+			if w.cut(n.label, n.zone, "cloud", "") {
+				return core.Clouded{ID: x.ID, Outcome: core.Unknown}
+			}
 			if w.cloud.outage {
 				return core.Clouded{ID: x.ID, Outcome: core.Refused}
 			}
