--- /dev/null
+++ b/internal/cloud/cloud_test.go
@@ -0,0 +1,76 @@
+package cloud
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+func call(t *testing.T, h http.HandlerFunc, q core.Cloud) core.Clouded {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	defer srv.Close()
+	got := make(chan core.Clouded, 1)
+	New(strings.TrimPrefix(srv.URL, "http://"), 100, func(in any) { got <- in.(core.Clouded) }).Call(q)
+	select {
+	case r := <-got:
+		return r
+	case <-time.After(10 * time.Second):
+		t.Fatal("no answer")
+		panic("unreachable")
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	b, err := wire.Encode(v)
+	if err != nil {
+		panic(err)
+	}
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+// "no capacity" says to try another pool, trouble to try again, and no answer
+// that the hire may have been carried out.
+func TestHireOutcomes(t *testing.T) {
+	hire := core.Cloud{ID: 4, Hire: &wire.Hire{Name: "r-1-1", Rig: "g2", Zone: "a", Count: 2}}
+	for _, c := range []struct {
+		status int
+		body   any
+		want   core.Outcome
+	}{
+		{200, map[string]any{"hosts": []string{"vm-1"}}, core.OK}, {503, map[string]any{"error": "no capacity"}, core.Full},
+		{503, map[string]any{"error": "trouble"}, core.Refused}, {429, map[string]any{}, core.Refused}, {500, map[string]any{}, core.Unknown},
+	} {
+		r := call(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != "POST" || r.URL.Path != "/hosts" {
+				t.Errorf("%s %s", r.Method, r.URL)
+			}
+			reply(w, c.status, c.body)
+		}, hire)
+		if r.ID != 4 || r.Outcome != c.want || (c.want == core.OK) != (len(r.Hosts) == 1) {
+			t.Errorf("%d %v: got %+v", c.status, c.body, r)
+		}
+	}
+}
+
+func TestListFollowsPages(t *testing.T) {
+	r := call(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == "" {
+			reply(w, 200, map[string]any{"hosts": []any{map[string]any{"ref": "vm-1", "status": "booting", "age_s": 3.5}}, "has_next": true})
+			return
+		}
+		if r.URL.Query().Get("from") != "vm-1" {
+			t.Errorf("asked %s", r.URL)
+		}
+		reply(w, 200, map[string]any{"hosts": []any{map[string]any{"ref": "vm-2", "status": "running"}}, "has_next": false})
+	}, core.Cloud{List: true})
+	if r.Outcome != core.OK || len(r.Machines) != 2 || r.Machines[0].AgeS != 3.5 || r.Machines[1].Name != "vm-2" {
+		t.Errorf("got %+v", r)
+	}
+}
