--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -93,7 +93,7 @@
 
 // DefaultOperator is used where the INI file is silent.
 func DefaultOperator() Operator {
-	return Operator{IdleReturnS: 60, SpareMachines: 0, Preempt: true}
+	return Operator{IdleReturnS: 40, SpareMachines: 0, Preempt: true}
 }
 
 // Load reads and checks the settings; the error names every fault.
