--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -553,10 +553,12 @@
 	return 0
 }
 
-// mayStop tells whether the rules of preemption let w stop work of v.
+// mayStop tells whether the rules of preemption let w stop work of v, and w
+// comes first in the queue as well: otherwise what was stopped would get its
+// place back and be stopped again.
 func (p *plan) mayStop(w *want, v *job) bool {
 	if v.prio < w.j.prio {
 		return true
 	}
-	return w.within && !v.within && v.rec.Spec.Team != w.j.rec.Spec.Team
+	return v.prio == w.j.prio && w.within && !v.within && v.rec.Spec.Team != w.j.rec.Spec.Team
 }
