A machine that was silent while its owner could not answer is not dead

Silence now counts from when the owner could answer again, and evidence is dropped when the state service comes back. Scenario outage-returns-nothing fails without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -238,14 +238,15 @@
 	images wire.Interner
 	peers  map[string]*peer
 
-	storeOK   bool
-	storeAt   Time // last proof that the state service serves us
-	partLease lease
-	leadLease lease
-	checkAt   Time
-	checks    []check
-	gossipAt  Time
-	roomAt    Time
+	storeOK    bool
+	storeSince Time // since when it has served us
+	storeAt    Time // last proof that the state service serves us
+	partLease  lease
+	leadLease  lease
+	checkAt    Time
+	checks     []check
+	gossipAt   Time
+	roomAt     Time
 
 	held      []heldReport
 	owner     batch
@@ -379,6 +380,14 @@
 func (n *Node) storeHeard(o Outcome) {
 	switch o {
 	case OK, Conflict, Missing, BadLease:
+		if !n.storeOK {
+			// In an outage owners run out of validity and their workers go
+			// round in vain. That says nothing about the owners afterwards.
+			n.storeSince = n.now
+			for _, h := range n.hosts {
+				h.redirectAt, h.bounceAt = 0, 0
+			}
+		}
 		n.storeOK, n.storeAt = true, n.now
 	default:
 		if n.now-n.storeAt > 3*time.Second {
@@ -605,6 +614,9 @@
 		}
 		for i, term := range c.parts {
 			if p := n.parts[i]; p.rev == term {
+				if !n.valid(p) {
+					p.validSince = n.now
+				}
 				p.base = max(p.base, min(c.sent, n.partLease.sent))
 				p.proven = true
 			}
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -121,7 +121,8 @@
 		i := wire.HostInfo{
 			Name: h.name, Rig: h.rig, Zone: h.zone, Spot: h.spot, SilentS: silent.Seconds(),
 			Leaving: h.leavingAt > 0, Retiring: h.retiring, Sick: h.sick, Errors: len(h.errJobs),
-			Lost: n.lost(h, silent, 2*fresh[h.part] > all[h.part]),
+			// Machines could not report to us before we could answer.
+			Lost: n.lost(h, min(silent, n.now-p.validSince), 2*fresh[h.part] > all[h.part]),
 		}
 		i.FetchGB = n.fetchGB(h)
 		for im := range n.images.Len() {
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -17,10 +17,11 @@
 	rec  *wire.Part
 	rev  uint64 // of the claim: the term and the workers' token
 
-	since  Time // when our copy last saw it change hands or go
-	proven bool // a check has covered this term
-	base   Time // our validity counts from here
-	bound  Time // no earlier owner can have answered a report sent after this
+	since      Time // when our copy last saw it change hands or go
+	proven     bool // a check has covered this term
+	base       Time // our validity counts from here
+	validSince Time // since when we could answer without a break
+	bound      Time // no earlier owner can have answered a report sent after this
 }
 
 // makeParts splits the machines of each zone among its controllers.
@@ -207,7 +208,8 @@
 	if p == nil || p.msg.StoreOK {
 		return 0
 	}
-	return n.now - n.refusedSince[label]
+	// An outage ends for one controller a moment before another.
+	return n.now - max(n.refusedSince[label], n.storeSince)
 }
 
 // rank orders the controllers, so that two don't claim at once.
@@ -350,7 +352,7 @@
 		back := n.now - h.redirectAt
 		bounced := h.redirectAt > 0 && back > second*7/10 && back < 15*second
 		unheard := h.info.Name != "" && n.now-h.infoAt > 2*n.cfg.Report && n.now-h.infoAt < 2*n.cfg.Lease
-		if bounced || unheard {
+		if n.storeOK && (bounced || unheard) {
 			if h.bounceAt == 0 || n.now-h.bounceAt > 12*second {
 				h.bounceFrom = n.now
 			}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -388,6 +388,13 @@
 		}
 		return nil
 	}
+	if k, v, ok := strings.Cut(args[0], ">="); ok && k == "machines" {
+		limit, _ := strconv.Atoi(v)
+		if got := len(w.up()); got < limit {
+			return fmt.Errorf("%d machines", got)
+		}
+		return nil
+	}
 	if args[0] == "sick=0" {
 		for _, k := range w.up() {
 			if k.sick {
