--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -202,6 +202,9 @@
 		h.part, h.rig, h.zone, h.spot = part, info.Rig, info.Zone, info.Spot
 		h.info, h.infoAt = *info, n.now-Time(info.SilentS*float64(second))
 		h.retiring = info.Retiring
+		if h.infoAt > h.bounceAt {
+			h.bounceAt = 0 // it has reached its owner since
+		}
 		for _, im := range info.Images {
 			h.images[n.images.Of(im)] = true
 		}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -351,7 +351,7 @@
 		// it hears nothing from it: it can't reach its owner.
 		back := n.now - h.redirectAt
 		bounced := h.redirectAt > 0 && back > second*7/10 && back < 15*second
-		unheard := h.info.Name != "" && n.now-h.infoAt > 2*n.cfg.Report && n.now-h.infoAt < 2*n.cfg.Lease
+		unheard := n.toldUnheard(p.rec.Owner, h.name)
 		if n.storeOK && (bounced || unheard) {
 			if h.bounceAt == 0 || n.now-h.bounceAt > 12*second {
 				h.bounceFrom = n.now
@@ -365,6 +365,22 @@
 	n.emit(Reply{Req: req, Status: 503, Body: wire.Error{Error: "no owner"}})
 }
 
+// toldUnheard tells whether an owner that has been up for a while says that it
+// hears nothing of a machine. One that has just come back does not know of it
+// yet, which proves nothing.
+func (n *Node) toldUnheard(owner, name string) bool {
+	p := n.peers[owner]
+	if p == nil || n.now-p.at > 3*second || p.msg.UpS < 4*n.cfg.Report.Seconds() {
+		return false
+	}
+	for i := range p.msg.Hosts {
+		if h := &p.msg.Hosts[i]; h.Name == name {
+			return h.SilentS > 2*n.cfg.Report.Seconds()
+		}
+	}
+	return false
+}
+
 // active finds a placed task in our copy of the records.
 func (n *Node) active(k taskKey, hostName string) *wire.Active {
 	if k.job < 0 || n.jobs[k.job].rec == nil {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -395,6 +395,13 @@
 		}
 		return nil
 	}
+	if v, ok := strings.CutPrefix(args[0], "owner="); ok {
+		part, owner, _ := strings.Cut(v, ":")
+		if got := w.owner(part); got != owner {
+			return fmt.Errorf("owner is %q", got)
+		}
+		return nil
+	}
 	if args[0] == "sick=0" {
 		for _, k := range w.up() {
 			if k.sick {
@@ -415,6 +422,15 @@
 	return nil
 }
 
+// owner names the controller whose claim of a part stands.
+func (w *World) owner(part string) string {
+	k := w.store.keys[wire.PartKey(part)]
+	if k == nil {
+		return ""
+	}
+	return decode(wire.PartKey(part), k.raw).(*wire.Part).Owner
+}
+
 func (w *World) expectOne(u *userSim, what string) error {
 	count := 0
 	zones, hosts := map[string]bool{}, map[string]bool{}
