--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -261,6 +261,7 @@
 	leadAt   Time
 	cloudBad Time // since when the cloud has not answered; 0: it does
 	resignAt Time
+	cutSince Time // since when we lead cut off; 0: we don't
 	users    userState
 }
 
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -17,7 +17,7 @@
 	}
 	n.gossipAt = n.now + second
 	m := &wire.Gossip{
-		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, Rev: n.rev,
+		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(), Rev: n.rev,
 		Holds: n.holdsToTell(),
 	}
 	for _, p := range n.parts {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -105,13 +105,22 @@
 }
 
 // resign gives the leadership up when we are cut off but the state service
-// still serves us, and some other controller is there to take it.
+// still serves us, and some other controller is there to take it that is not
+// cut off itself: when all are, nobody would do better.
 func (n *Node) resign() bool {
-	if n.now < n.resignAt || n.now-n.leader.since < 5*second || !n.isolated() {
+	if !n.isolated() {
+		n.cutSince = 0
+		return false
+	}
+	if n.cutSince == 0 {
+		n.cutSince = n.now
+	}
+	// The peers need a moment to notice, and to tell, that they are cut too.
+	if n.now < n.resignAt || n.now-n.leader.since < 5*second || n.now-n.cutSince < n.cfg.Report+2*second {
 		return false
 	}
 	for _, p := range n.peers {
-		if n.now-p.at < 8*second && p.msg.StoreOK {
+		if n.now-p.at < 8*second && p.msg.StoreOK && !p.msg.CutOff {
 			n.resignAt = n.now + 10*second
 			n.log(1, "giving the leadership up: cut off")
 			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(Committed) {})
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -35,6 +35,7 @@
 	Life     string
 	UpS      float64
 	StoreOK  bool
+	CutOff   bool   // the sender reaches neither the cloud nor any controller directly
 	Rev      uint64 // how far the sender's copy of the records goes
 	Parts    []int  // owned and valid
 	Terms    []uint64
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -381,8 +381,13 @@
 
 // expect checks "JOB WHAT..." or "machines<=N".
 func (w *World) expect(args []string) error {
-	if k, v, ok := strings.Cut(args[0], "<="); ok && k == "machines" {
+	if k, v, ok := strings.Cut(args[0], "<="); ok && (k == "machines" || k == "leaders") {
 		limit, _ := strconv.Atoi(v)
+		if got := w.store.leaders; k == "leaders" && got > limit {
+			return fmt.Errorf("%d claims of leadership", got)
+		} else if k == "leaders" {
+			return nil
+		}
 		if got := len(w.up()); got > limit {
 			return fmt.Errorf("%d machines", got)
 		}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -11,16 +11,17 @@
 
 // store stands in for the state service.
 type store struct {
-	w      *World
-	rev    uint64
-	keys   map[string]*entry
-	leases map[uint64]*leaseSim
-	next   uint64
-	outage bool
-	refuse map[string]int
-	deaf   map[string]int // controllers whose watch hangs
-	log    []change
-	at     map[string]int // how far each controller's watch has come
+	w       *World
+	rev     uint64
+	keys    map[string]*entry
+	leases  map[uint64]*leaseSim
+	next    uint64
+	outage  bool
+	leaders int // claims of leadership so far
+	refuse  map[string]int
+	deaf    map[string]int // controllers whose watch hangs
+	log     []change
+	at      map[string]int // how far each controller's watch has come
 }
 
 type entry struct {
@@ -112,6 +113,9 @@
 	} else {
 		s.keys[p.key] = &entry{raw: p.raw, rev: rev, lease: p.lease}
 	}
+	if p.key == wire.LeaderKey && p.raw != nil {
+		s.leaders++
+	}
 	s.log = append(s.log, change{p.key, p.raw, rev})
 }
 
