--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -79,6 +79,7 @@
 	rigRef             *wire.Flavor
 	soonCores          float64 // freed by tasks that are on their way out
 	soonCards, soonMem float64
+	daemon             bool // a daemon keeps the machine up anyway
 	reserved           bool // kept for a gang that still waits for more machines
 	images             map[int]bool
 	fetchGB            float64 // being fetched: images share the rate
@@ -150,6 +151,7 @@
 				continue
 			}
 			s.take(sp)
+			s.daemon = s.daemon || sp.Shape == wire.ShapeDaemon
 			if a.Stop != wire.Keep || j.rec.State != wire.Live {
 				s.soonCores += sp.Cores
 				s.soonCards += sp.Cards
@@ -194,6 +196,9 @@
 	if sp.Spot && !s.spot && !s.untouched() {
 		v -= 4 // the machine stays anyway; a spot machine may go back
 	}
+	if sp.Shape == wire.ShapeDaemon && !s.daemon {
+		v += 15 // it stays long: better two on one machine than half of two
+	}
 	v += 100 * float64(s.errors)
 	if s.h != nil && contains(j.rec.Avoid, s.h.name) {
 		v += 500
