--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -147,7 +147,9 @@
 	if !l.batch.ready(n) {
 		return
 	}
-	l.at = n.now + 120*1e6
+	// A pass looks at every unfinished job; with thousands of them the share of
+	// a core that we have allows fewer passes.
+	l.at = n.now + 120*1e6 + Time(len(n.live))*300*1e3
 	l.dirty = false
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -574,7 +574,7 @@
 	if n.now < n.ownerAt {
 		return
 	}
-	n.ownerAt = n.now + 60*1e6
+	n.ownerAt = n.now + 60*1e6 + Time(len(n.live))*20*1e3
 	anyValid := false
 	for _, p := range n.parts {
 		if n.valid(p) {
