--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -275,17 +275,19 @@
 			list = append(list, priced{pool{r.Name, z, false}, r.Price})
 		}
 	}
-	count := map[pool]int{}
-	for _, l := range [][]*slot{p.slots, p.hope} {
-		for _, s := range l {
-			count[pool{s.rig, s.zone, s.spot}]++
+	if p.count == nil { // profiled: counting anew for each task took most of a pass
+		p.count = map[pool]int{}
+		for _, l := range [][]*slot{p.slots, p.hope} {
+			for _, s := range l {
+				p.count[pool{s.rig, s.zone, s.spot}]++
+			}
 		}
 	}
 	sort.SliceStable(list, func(a, b int) bool {
 		if list[a].price != list[b].price {
 			return list[a].price < list[b].price
 		}
-		return count[list[a].pool] < count[list[b].pool]
+		return p.count[list[a].pool] < p.count[list[b].pool]
 	})
 	out := make([]pool, len(list))
 	for i := range list {
@@ -317,6 +319,7 @@
 		}
 		if s := n.newSlot(x); s != nil && ok(s) {
 			p.hires[x]++
+			p.count[x]++
 			p.hope = append(p.hope, s)
 			return s
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -196,7 +196,8 @@
 	hope  []*slot // machines booting, hired or to be hired
 	used  map[string]*use
 	hires map[pool]int
-	full  bool // the commit takes no more
+	count map[pool]int // machines of each pool, up, coming or planned
+	full  bool         // the commit takes no more
 	stops int
 }
 
