Answer polls in batches from a copy that has caught up

One compare-only commit names the present revision for all polls that came before it; they are answered once our copy has got there.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -13,6 +13,19 @@
 // userState holds the requests of users that wait for the state service.
 type userState struct {
 	open map[uint64]*userOp
+
+	polls   []*userOp // wait for the next question of how far the records go
+	asking  bool
+	askAt   Time
+	settled []pollBatch // know it, and wait for our copy to get there
+}
+
+// pollBatch is a number of polls that our copy may answer once it has reached
+// a revision that the state service named after they had come.
+type pollBatch struct {
+	rev   uint64
+	since Time
+	ops   []*userOp
 }
 
 type userOp struct {
@@ -67,9 +80,74 @@
 		n.create(op)
 		return
 	}
+	if op.Kind == "poll" && n.loaded {
+		n.users.polls = append(n.users.polls, op)
+		n.askRevision()
+		return
+	}
 	n.lookUp(op)
 }
 
+// pollPause gathers polls: one question to the state service serves all that
+// came before it was sent. With hundreds of users, reading each record would
+// take more of a core than we have.
+const pollPause = 60 * time.Millisecond
+
+// askRevision asks how far the records go. What our copy shows once it has got
+// there is at least as new as anything that anyone was told before the polls
+// came, so answers from it never go back.
+func (n *Node) askRevision() {
+	u := &n.users
+	if u.asking || len(u.polls) == 0 || n.now < u.askAt {
+		return
+	}
+	ops := u.polls
+	u.polls, u.asking, u.askAt = nil, true, n.now+pollPause
+	// Equal or not, the answer names the present revision.
+	n.commit(User, []Cond{{wire.LeaderKey, n.leader.rev}}, nil, func(c Committed) {
+		u.asking = false
+		switch c.Outcome {
+		case OK, Conflict:
+			u.settled = append(u.settled, pollBatch{rev: c.Rev, since: n.now, ops: ops})
+			n.settlePolls()
+		default:
+			for _, op := range ops {
+				if n.retry(op, c.Outcome) {
+					u.polls = append(u.polls, op)
+				}
+			}
+		}
+	})
+}
+
+// settlePolls answers the polls that our copy has caught up with. When it
+// lags, the records are read one by one.
+func (n *Node) settlePolls() {
+	u := &n.users
+	var rest []pollBatch
+	for _, b := range u.settled {
+		switch {
+		case n.rev >= b.rev:
+			for _, op := range b.ops {
+				if ix := n.refs.Find(op.Ref); ix >= 0 && n.jobs[ix].rec != nil {
+					n.answer(op, 200, n.reply(op, n.jobs[ix].rec))
+				} else {
+					n.answer(op, 404, wire.Error{Error: "no such job"})
+				}
+			}
+		case n.now-b.since > 400*time.Millisecond:
+			for _, op := range b.ops {
+				if _, open := u.open[op.Req]; open {
+					n.lookUp(op)
+				}
+			}
+		default:
+			rest = append(rest, b)
+		}
+	}
+	u.settled = rest
+}
+
 // reply is the body of a 200. Withdrawals and submissions leave out counts.
 func (n *Node) reply(op *userOp, r *wire.Job) any {
 	return status(op.Ref, r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -346,6 +346,8 @@
 	n.answerHeld()
 	n.leaderTick()
 	n.gossip(false)
+	n.askRevision()
+	n.settlePolls()
 	n.expireUsers()
 }
 
