--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -247,7 +246,7 @@
 			for _, e := range l.Events {
 				if e.Drop != "" {
 					ch.Events = append(ch.Events, core.Event{Key: e.Drop, Rev: e.Rev})
-				} else if v, err := record(e.Put, e.Val); err == nil && v != nil {
+				} else if v, err := wire.DecodeRecord(e.Put, e.Val); err == nil && v != nil {
 					ch.Events = append(ch.Events, core.Event{Key: e.Put, Rev: e.Rev, Value: v})
 				}
 			}
@@ -282,7 +281,7 @@
 		}
 		for _, r := range l.Rows {
 			from = r.Key
-			if v, err := record(r.Key, r.Val); err == nil && v != nil {
+			if v, err := wire.DecodeRecord(r.Key, r.Val); err == nil && v != nil {
 				ch.Events = append(ch.Events, core.Event{Key: r.Key, Rev: r.Rev, Value: v})
 			}
 		}
@@ -293,28 +292,3 @@
 	c.post(ch)
 	return ch.Rev, true
 }
-
-// record decodes a value by the kind of its key.
-func record(key string, raw []byte) (any, error) {
-	var v any
-	switch {
-	case strings.HasPrefix(key, wire.JobPrefix):
-		v = new(wire.Job)
-	case strings.HasPrefix(key, wire.PartPrefix):
-		v = new(wire.Part)
-	case strings.HasPrefix(key, wire.GangPrefix):
-		v = new(wire.Gang)
-	case strings.HasPrefix(key, wire.RoomPrefix):
-		v = new(wire.Gossip)
-	case key == wire.LeaderKey:
-		v = new(wire.Leader)
-	case key == wire.TypesKey:
-		v = new(wire.Types)
-	default:
-		return nil, nil
-	}
-	if err := wire.Decode(raw, v); err != nil {
-		return nil, err
-	}
-	return v, nil
-}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -142,3 +142,29 @@
 	}
 	return nil
 }
+
+// DecodeRecord reads a record by the kind of its key. It gives nil for a key
+// that is not ours.
+func DecodeRecord(key string, raw []byte) (any, error) {
+	var v any
+	switch {
+	case strings.HasPrefix(key, JobPrefix):
+		v = new(Job)
+	case strings.HasPrefix(key, PartPrefix):
+		v = new(Part)
+	case strings.HasPrefix(key, GangPrefix):
+		v = new(Gang)
+	case strings.HasPrefix(key, RoomPrefix):
+		v = new(Gossip)
+	case key == LeaderKey:
+		v = new(Leader)
+	case key == TypesKey:
+		v = new(Types)
+	default:
+		return nil, nil
+	}
+	if err := Decode(raw, v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -379,39 +379,11 @@
 	w.after(time.Duration(2+w.rng.IntN(15))*time.Second, func() { w.storm(until) })
 }
 
-// expect checks "JOB WHAT..." or "machines<=N".
+// expect checks "JOB WHAT..." or something about the world as a whole.
 func (w *World) expect(args []string) error {
-	if k, v, ok := strings.Cut(args[0], "<="); ok && (k == "machines" || k == "leaders") {
-		limit, _ := strconv.Atoi(v)
-		if got := w.store.leaders; k == "leaders" && got > limit {
-			return fmt.Errorf("%d claims of leadership", got)
-		} else if k == "leaders" {
-			return nil
-		}
-		if got := len(w.up()); got > limit {
-			return fmt.Errorf("%d machines", got)
-		}
-		return nil
-	}
-	if k, v, ok := strings.Cut(args[0], ">="); ok && k == "machines" {
-		limit, _ := strconv.Atoi(v)
-		if got := len(w.up()); got < limit {
-			return fmt.Errorf("%d machines", got)
-		}
-		return nil
-	}
-	if v, ok := strings.CutPrefix(args[0], "owner="); ok {
-		part, owner, _ := strings.Cut(v, ":")
-		if got := w.owner(part); got != owner {
-			return fmt.Errorf("owner is %q", got)
-		}
-		return nil
-	}
-	if args[0] == "sick=0" {
-		for _, k := range w.up() {
-			if k.sick {
-				return fmt.Errorf("%s is sick and still there", k.m.Name)
-			}
+	if what, known, err := w.expectWorld(args[0]); known {
+		if err != nil {
+			return fmt.Errorf("want %s: %w", what, err)
 		}
 		return nil
 	}
@@ -427,6 +399,41 @@
 	return nil
 }
 
+// expectWorld checks machines<=N, machines>=N, leaders<=N, sick=0 or
+// owner=PART:CONTROLLER.
+func (w *World) expectWorld(what string) (string, bool, error) {
+	holds, got := false, any(nil)
+	if k, v, ok := strings.Cut(what, "<="); ok {
+		limit, _ := strconv.Atoi(v)
+		count := map[string]int{"machines": len(w.up()), "leaders": w.store.leaders}
+		n, known := count[k]
+		if !known {
+			return what, false, nil
+		}
+		holds, got = n <= limit, n
+	} else if v, ok := strings.CutPrefix(what, "machines>="); ok {
+		limit, _ := strconv.Atoi(v)
+		holds, got = len(w.up()) >= limit, len(w.up())
+	} else if v, ok := strings.CutPrefix(what, "owner="); ok {
+		part, owner, _ := strings.Cut(v, ":")
+		holds, got = w.owner(part) == owner, w.owner(part)
+	} else if what == "sick=0" {
+		sick := 0
+		for _, k := range w.up() {
+			if k.sick {
+				sick++
+			}
+		}
+		holds, got = sick == 0, sick
+	} else {
+		return what, false, nil
+	}
+	if !holds {
+		return what, true, fmt.Errorf("got %v", got)
+	}
+	return what, true, nil
+}
+
 // owner names the controller whose claim of a part stands.
 func (w *World) owner(part string) string {
 	k := w.store.keys[wire.PartKey(part)]
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"micaport/internal/core"
@@ -190,24 +189,8 @@
 }
 
 func decode(key string, raw []byte) any {
-	var v any
-	switch {
-	case strings.HasPrefix(key, wire.JobPrefix):
-		v = new(wire.Job)
-	case strings.HasPrefix(key, wire.PartPrefix):
-		v = new(wire.Part)
-	case strings.HasPrefix(key, wire.GangPrefix):
-		v = new(wire.Gang)
-	case strings.HasPrefix(key, wire.RoomPrefix):
-		v = new(wire.Gossip)
-	case key == wire.LeaderKey:
-		v = new(wire.Leader)
-	case key == wire.TypesKey:
-		v = new(wire.Types)
-	default:
-		return nil
-	}
-	must(wire.Decode(raw, v))
+	v, err := wire.DecodeRecord(key, raw)
+	must(err)
 	return v
 }
 
