--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -247,6 +247,8 @@
 	checks     []check
 	gossipAt   Time
 	roomAt     Time
+	imagesAt   Time
+	imagesKept int // entries in the record of images as last written
 
 	held      []heldReport
 	owner     batch
@@ -346,6 +348,7 @@
 	n.answerHeld()
 	n.leaderTick()
 	n.gossip(false)
+	n.keepImages()
 	n.askRevision()
 	n.settlePolls()
 	n.expireUsers()
@@ -480,6 +483,8 @@
 		if n.loaded { // a listing's may be of long ago
 			n.gossipFromStore(v)
 		}
+	case *wire.Images:
+		n.takeImages(v)
 	case *wire.Types:
 		if e.Rev >= n.rigRev {
 			n.rigRev = e.Rev
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 
 	"micaport/internal/wire"
@@ -136,6 +137,52 @@
 	return out
 }
 
+// imagePause is how often the images on our machines are written down. What
+// the last moments before a crash added is lost, at the price of a fetch.
+const imagePause = 20 * second
+
+// keepImages writes down which machine has which image. Without it, every
+// choice after all controllers had died was blind to what is cached.
+func (n *Node) keepImages() {
+	if n.now < n.imagesAt || !n.storeOK {
+		return
+	}
+	n.imagesAt = n.now + imagePause
+	rec := &wire.Images{Hosts: map[string][]string{}}
+	count := 0
+	room := n.cfg.ValueBytes / 2 // in bytes, which names below stay well within
+	for _, h := range n.hosts {
+		if h.part < 0 || h.returned || !n.valid(n.parts[h.part]) || h.term != n.parts[h.part].rev {
+			continue
+		}
+		for im := range n.images.Len() {
+			if name := n.images.Name(im); h.images[im] && room > 0 {
+				rec.Hosts[h.name] = append(rec.Hosts[h.name], name)
+				room -= len(name) + 3
+				count++
+			}
+		}
+	}
+	if count == n.imagesKept {
+		return
+	}
+	n.imagesKept = count
+	n.commit(Bulk, nil, []Write{{Key: wire.ImagePrefix + n.cfg.Self, Value: rec}}, func(Committed) {})
+}
+
+// takeImages learns from what was written down.
+func (n *Node) takeImages(rec *wire.Images) {
+	for _, name := range slices.Sorted(maps.Keys(rec.Hosts)) {
+		if n.hostIx.Find(name) < 0 && n.loaded {
+			continue // a machine that nobody has spoken of since is gone
+		}
+		h := n.hostOf(name)
+		for _, im := range rec.Hosts[name] {
+			h.images[n.images.Of(im)] = true
+		}
+	}
+}
+
 // strayFor is how long a machine counts as having come to a controller that
 // does not own it.
 const strayFor = 12 * second
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -12,13 +12,14 @@
 // Keys of the state service. All share one prefix, so that one watch sees
 // every change in order.
 const (
-	Prefix     = "m/"
-	JobPrefix  = "m/j/"
-	PartPrefix = "m/p/"
-	GangPrefix = "m/g/"
-	RoomPrefix = "m/r/"
-	LeaderKey  = "m/leader"
-	TypesKey   = "m/types"
+	Prefix      = "m/"
+	JobPrefix   = "m/j/"
+	PartPrefix  = "m/p/"
+	GangPrefix  = "m/g/"
+	RoomPrefix  = "m/r/"
+	ImagePrefix = "m/i/"
+	LeaderKey   = "m/leader"
+	TypesKey    = "m/types"
 )
 
 // Final and live states of a job record.
@@ -88,6 +89,12 @@
 	Parts   []int  `msgpack:"p"`
 }
 
+// Images says which machines of a controller's parts have which images, so
+// that the knowledge outlives the process.
+type Images struct {
+	Hosts map[string][]string `msgpack:"h"`
+}
+
 // Types caches the machine types, for processes that start while the cloud
 // is in trouble.
 type Types struct {
@@ -156,6 +163,8 @@
 		v = new(Gang)
 	case strings.HasPrefix(key, RoomPrefix):
 		v = new(Gossip)
+	case strings.HasPrefix(key, ImagePrefix):
+		v = new(Images)
 	case key == LeaderKey:
 		v = new(Leader)
 	case key == TypesKey:
