Start all tasks of a gang at once when its images surely come in time

Holding back machines that have the image cost a report interval each time. Unused fields and the unused random source of the core are gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,7 +5,6 @@
 package core
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,11 +36,11 @@
 	Zones   []string
 	Teams   []Team
 
-	Report, Lease, GangWait, GangPeer Time
-	Validity                          Time // how long an owner may act on a renewal
-	LeaderTTL                         Time
-	TxnOps, ValueBytes                int
-	ListLag                           Time
+	Report, Lease, GangWait Time
+	Validity                Time // how long an owner may act on a renewal
+	LeaderTTL               Time
+	TxnOps, ValueBytes      int
+	ListLag                 Time
 
 	IdleReturn  Time
 	Spares      int
@@ -49,7 +48,6 @@
 	Preempt     bool
 
 	WallMS func() int64 // time of day, for ordering queues only
-	Seed   uint64
 }
 
 // Outcome of a request to the state service or the cloud.
@@ -214,7 +212,6 @@
 // Node is the state machine of one controller.
 type Node struct {
 	cfg Config
-	rng *rand.Rand
 	now Time
 	out []any
 
@@ -293,7 +290,7 @@
 // New makes a node. Its parts follow from the settings alone.
 func New(cfg Config) *Node {
 	n := &Node{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg:     cfg,
 		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, peers: map[string]*peer{},
 		results: map[taskKey]result{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -19,8 +19,6 @@
 	// As the leader: the parts that agreed.
 	agreed map[int]bool
 	denied bool
-	// What the last gossip said of it.
-	told bool
 }
 
 func (n *Node) putGang(key string, rec *wire.Gang, rev uint64) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -19,7 +19,6 @@
 	blockedSince Time
 	gangZone     string // where room is being made for it
 	preemptAt    Time   // not before this is anything stopped for it again
-	seenAt       Time
 	notBefore    Time
 	errorsSeen   int
 	changed      Time // when our copy last changed
@@ -42,7 +41,7 @@
 func (n *Node) putJob(ref string, rec *wire.Job, rev uint64) {
 	ix := n.refs.Of(ref)
 	if ix == len(n.jobs) {
-		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1, seenAt: n.now})
+		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1})
 	}
 	j := n.jobs[ix]
 	if rev <= j.rev {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,13 +22,11 @@
 	cloud cloudState
 	// Machines that the cloud has confirmed gone, for the owners to hear.
 	returned []string
-	stopAt   map[taskKey]Time
 }
 
 func (l *leaderState) reset() {
 	l.batch = batch{name: "leader", gen: l.batch.gen + 1}
 	l.hint = map[taskKey]*host{}
-	l.stopAt = map[taskKey]Time{}
 	l.cloud = newCloudState()
 	l.returned = nil
 	l.dirty = true
@@ -281,8 +279,6 @@
 	for _, s := range p.slots {
 		if s.cards == s.rigRef.Cards && s.cores == s.rigRef.Cores && len(s.h.jobs) == 0 {
 			idle[s] = true
-		} else {
-			s.h.idleSince = 0
 		}
 	}
 	return idle
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -252,7 +252,7 @@
 	if h.session != r.Session {
 		clear(h.started)
 	}
-	h.session, h.seq, h.token, h.heard = r.Session, r.Seq, r.Token, n.now
+	h.session, h.seq, h.heard = r.Session, r.Seq, n.now
 	h.bounceAt, h.redirectAt = 0, 0
 	h.reports++
 	if r.RecallS != nil {
@@ -514,6 +514,13 @@
 	if sp.Shape != wire.ShapeGang || sp.Frames < 2 {
 		return false
 	}
+	// Images come at two thirds of the nominal rate at worst. A gang that is
+	// surely complete in time had better start with the last of them, not
+	// with the next report of a machine that was held back.
+	if r := n.rigOf(n.hostOf(a.Host).rig); r != nil && r.FetchGBs > 0 &&
+		1.5*sp.ImageGB/r.FetchGBs < (n.cfg.GangWait-2*n.cfg.Report).Seconds() {
+		return false
+	}
 	if !n.hostOf(a.Host).images[j.image] {
 		return false
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -23,7 +23,6 @@
 	// As its owner.
 	term         uint64 // the term in which the following was learnt
 	session, seq uint64
-	token        uint64
 	reports      int  // heard in this term
 	heard        Time // last report in this term
 	answered     Time // last report answered with 200
@@ -38,11 +37,9 @@
 	images map[int]bool
 
 	// As seen from anywhere.
-	info      wire.HostInfo
-	infoAt    Time
-	firstSeen Time
-	idleSince Time
-	returned  bool
+	info     wire.HostInfo
+	infoAt   Time
+	returned bool
 
 	redirectAt, bounceAt, bounceFrom Time // see redirect
 }
@@ -55,7 +52,7 @@
 func (n *Node) hostOf(name string) *host {
 	ix := n.hostIx.Of(name)
 	if ix == len(n.hosts) {
-		n.hosts = append(n.hosts, &host{ix: ix, name: name, part: -1, firstSeen: n.now, images: map[int]bool{}})
+		n.hosts = append(n.hosts, &host{ix: ix, name: name, part: -1, images: map[int]bool{}})
 	}
 	return n.hosts[ix]
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 		Members: []core.Member{{Label: s.Label, Zone: s.Zone}},
 		Zones:   d.Zones,
 		Report:  config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
-		GangWait: config.Seconds(d.Workers.GangWaitS), GangPeer: config.Seconds(d.Workers.GangPeerS),
+		GangWait:  config.Seconds(d.Workers.GangWaitS),
 		Validity:  s.Validity(),
 		LeaderTTL: 5 * time.Second,
 		TxnOps:    d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
@@ -114,7 +114,6 @@
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
 		MaxMachines: op.MaxMachines, Preempt: op.Preempt,
 		WallMS: func() int64 { return time.Now().UnixMilli() },
-		Seed:   rand.Uint64(),
 	}
 	for _, p := range s.Peers {
 		c.Members = append(c.Members, core.Member{Label: p.Label, Zone: p.Zone})
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -211,10 +211,10 @@
 	n.wait = map[uint64]func(core.Reply){}
 	cfg := core.Config{
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
-		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait, GangPeer: w.GangPeer,
+		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait,
 		Validity: w.Validity, LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
 		ListLag: 4 * time.Second, IdleReturn: w.Idle, Spares: 1, Preempt: true,
-		WallMS: func() int64 { return w.now.Milliseconds() }, Seed: w.Seed*100 + uint64(n.ix),
+		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
 	for _, m := range w.nodes {
 		cfg.Members = append(cfg.Members, core.Member{Label: m.label, Zone: m.zone})
