--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -194,7 +194,7 @@
 		v -= 4 // the machine stays anyway; a spot machine may go back
 	}
 	if sp.Shape == wire.ShapeDaemon && !s.daemon {
-		v += 15 // it stays long: better two on one machine than half of two
+		v += 5 // it stays long: better two on one machine than half of two
 	}
 	v += 100 * float64(s.errors)
 	if s.h != nil && contains(j.rec.Avoid, s.h.name) {
