--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -134,6 +134,11 @@
 	if !n.leads() || n.resign() {
 		return
 	}
+	// Refused by the state service, we may have lost the lead without seeing
+	// it. Commits would fail, but the cloud would go on obeying us.
+	if n.now-n.leadLease.sent > n.leadLease.ttl {
+		return
+	}
 	n.cloudTick()
 	if n.now < l.at || (!l.dirty && n.now < l.at+second) || n.rigs == nil {
 		return
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -16,7 +16,8 @@
 	leases  map[uint64]*leaseSim
 	next    uint64
 	outage  bool
-	leaders int // claims of leadership so far
+	ledFrom time.Duration // when the leadership was last claimed
+	leaders int           // claims of leadership so far
 	refuse  map[string]int
 	deaf    map[string]int // controllers whose watch hangs
 	log     []change
@@ -114,6 +115,7 @@
 	}
 	if p.key == wire.LeaderKey && p.raw != nil {
 		s.leaders++
+		s.ledFrom = s.w.now
 	}
 	s.log = append(s.log, change{p.key, p.raw, rev})
 }
@@ -266,6 +268,13 @@
 			Price: 6, SpotPrice: 2, BootS: w.Boot.Seconds(), Zones: w.Zones}}
 }
 
+// staleLeader tells whether a controller deals with the cloud long after
+// another has taken the lead: it would return machines that are in use.
+func (w *World) staleLeader(n *node) bool {
+	k := w.store.keys[wire.LeaderKey]
+	return k != nil && decode(wire.LeaderKey, k.raw).(*wire.Leader).Node != n.label && w.now-w.store.ledFrom > 6*time.Second
+}
+
 func (c *cloud) call(q core.Cloud) any {
 	r := core.Clouded{ID: q.ID, Outcome: core.OK}
 	switch {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -342,6 +342,9 @@
 			return nil
 		})
 	case core.Cloud:
+		if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
+			w.broke("stale_leader", "%s deals with the cloud", n.label)
+		}
 		n.call(func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
 			if w.cut(n.label, n.zone, "cloud", "") {
 				return core.Clouded{ID: x.ID, Outcome: core.Unknown}
