--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -23,6 +24,8 @@
 	http  *http.Client
 	limit *rate.Limiter
 	post  func(any)
+
+	pressing atomic.Int32 // hires and returns on their way or waiting
 }
 
 // New makes a client that keeps below the cloud's request rate.
@@ -44,6 +47,12 @@
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
 		r := core.Clouded{ID: q.ID, Outcome: core.Refused}
+		if q.Hire != nil || q.Return != nil {
+			c.pressing.Add(1)
+			defer c.pressing.Add(-1)
+		} else {
+			c.giveWay(ctx)
+		}
 		if c.limit.Wait(ctx) == nil {
 			switch {
 			case q.Flavors:
@@ -64,6 +73,14 @@
 	}()
 }
 
+// giveWay lets hires and returns go before a list, for a while: a list only
+// tells of machines that nobody knows.
+func (c *Client) giveWay(ctx context.Context) {
+	for i := 0; i < 20 && c.pressing.Load() > 0 && ctx.Err() == nil; i++ {
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 func (c *Client) list(ctx context.Context) ([]wire.Machine, core.Outcome) {
 	var all []wire.Machine
 	from := ""
@@ -81,6 +98,7 @@
 			return all, core.OK
 		}
 		from = l.Hosts[len(l.Hosts)-1].Name
+		c.giveWay(ctx)
 		if c.limit.Wait(ctx) != nil {
 			return nil, core.Refused
 		}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -90,8 +90,15 @@
 
 // pollPause gathers polls: one question to the state service serves all that
 // came before it was sent. With hundreds of users, reading each record would
-// take more of a core than we have.
-const pollPause = 60 * time.Millisecond
+// take more of a core than we have. All controllers together spend at most a
+// sixth of the service's requests on it.
+func (n *Node) pollPause() Time {
+	pause := 60 * time.Millisecond
+	if n.cfg.StateRPS > 0 {
+		pause = max(pause, Time(float64(6*len(n.cfg.Members))/n.cfg.StateRPS*float64(second)))
+	}
+	return min(pause, 500*time.Millisecond)
+}
 
 // askRevision asks how far the records go. What our copy shows once it has got
 // there is at least as new as anything that anyone was told before the polls
@@ -102,7 +109,7 @@
 		return
 	}
 	ops := u.polls
-	u.polls, u.asking, u.askAt = nil, true, n.now+pollPause
+	u.polls, u.asking, u.askAt = nil, true, n.now+n.pollPause()
 	// Equal or not, the answer names the present revision.
 	n.commit(User, []Cond{{wire.LeaderKey, n.leader.rev}}, nil, func(c Committed) {
 		u.asking = false
@@ -217,7 +224,7 @@
 // create commits a new job's record, after checking that it can ever run.
 func (n *Node) create(op *userOp) {
 	s := op.spec
-	if n.rigs == nil {
+	if n.types == nil {
 		n.later(op, "machine types are not known yet")
 		return
 	}
@@ -228,7 +235,7 @@
 	}
 	// Types that nobody offers can't be had; leaving them out bounds the size
 	// of the record whatever the user sends.
-	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.rigOf(name) == nil })
+	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.flavor(n.rigs.Find(name)) == nil })
 	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
 	key := wire.JobKey(s.Ref)
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
@@ -303,6 +310,10 @@
 
 // expireUsers answers requests that the state service has left waiting.
 func (n *Node) expireUsers() {
+	if n.now < n.usersAt {
+		return
+	}
+	n.usersAt = n.now + 50*time.Millisecond
 	var late []uint64
 	for req, op := range n.users.open {
 		if n.now >= op.deadline {
@@ -327,8 +338,8 @@
 		return "unknown team"
 	}
 	fits := false
-	for i := range n.rigs {
-		if r := &n.rigs[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || contains(r.Zones, s.Zone)) {
+	for i := range n.types {
+		if r := &n.types[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || contains(r.Zones, s.Zone)) {
 			fits = true
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,8 @@
 	LeaderTTL               Time
 	TxnOps, ValueBytes      int
 	ListLag                 Time
+	CloudRPS                float64
+	StateRPS                float64
 
 	IdleReturn  Time
 	Spares      int
@@ -225,15 +227,20 @@
 	refs   wire.Interner
 	live   []int // jobs that are unfinished or still have tasks on machines
 	gangs  map[string]*gang
-	rigs   []wire.Flavor
+	types  []wire.Flavor
 	rigsAt Time
 	rigRev uint64
 
-	parts  []*part
-	hosts  []*host
-	hostIx wire.Interner
-	images wire.Interner
-	peers  map[string]*peer
+	// Names are mapped to indices where they come in.
+	zones, teams, rigs wire.Interner
+	flavors            []*wire.Flavor // by index of their name; nil: not on offer
+
+	parts     []*part
+	zoneParts [][2]int // first part and number of parts of each zone
+	hosts     []*host
+	hostIx    wire.Interner
+	images    wire.Interner
+	peers     map[string]*peer
 
 	storeOK    bool
 	storeSince Time // since when it has served us
@@ -243,6 +250,16 @@
 	checkAt    Time
 	checks     []check
 	gossipAt   Time
+	gossipLast Time
+	ver        uint64   // of our view of our own machines
+	told       []change // in order of version
+	strayed    []int    // machines of others that came here lately
+	retiring   []int    // machines that the leader wants emptied
+	tidyAt     Time
+	ownInfoAt  Time
+	heldAt     Time
+	usersAt    Time
+	work       uint64 // machines looked at so far
 	roomAt     Time
 	imagesAt   Time
 	imagesKept int // entries in the record of images as last written
@@ -267,7 +284,8 @@
 type peer struct {
 	at      Time
 	msg     *wire.Gossip
-	byStore bool // heard through the state service only
+	have    uint64 // how far we have taken in its changes
+	byStore bool   // heard through the state service only
 }
 
 // lease is one lease on the state service.
@@ -297,7 +315,13 @@
 	}
 	n.partLease.ttl = cfg.Validity
 	n.leadLease.ttl = cfg.LeaderTTL
-	n.parts = makeParts(cfg)
+	for _, z := range slices.Sorted(slices.Values(cfg.Zones)) {
+		n.zones.Of(z)
+	}
+	for i := range cfg.Teams {
+		n.teams.Of(cfg.Teams[i].Name)
+	}
+	n.makeParts()
 	n.leader.reset()
 	n.owner.name = "owner"
 	return n
@@ -343,9 +367,17 @@
 	n.runChecks()
 	n.ownerTick()
 	n.answerHeld()
+	if n.now >= n.ownInfoAt {
+		// Changes on our machines are told at once, silence now and then.
+		n.ownInfoAt = n.now + second
+		was := n.ver
+		n.ownInfo()
+		n.gossip(n.ver != was)
+	}
 	n.leaderTick()
 	n.gossip(false)
 	n.keepImages()
+	n.forgetHosts()
 	n.askRevision()
 	n.settlePolls()
 	n.expireUsers()
@@ -387,8 +419,8 @@
 			// In an outage owners run out of validity and their workers go
 			// round in vain. That says nothing about the owners afterwards.
 			n.storeSince = n.now
-			for _, h := range n.hosts {
-				h.redirectAt, h.bounceAt = 0, 0
+			for _, p := range n.parts {
+				p.forgetBounces()
 			}
 		}
 		n.storeOK, n.storeAt = true, n.now
@@ -405,6 +437,14 @@
 		if l.waiting || n.now < l.next {
 			continue
 		}
+		if l == &n.leadLease && n.loaded && !n.leads() && n.leader.rec != nil && n.leader.rec.Node != n.cfg.Self {
+			// While another leads there is nothing to claim; requests are
+			// scarce. By the time it is needed the old one may have ended.
+			if n.now-l.sent > l.ttl/2 {
+				l.id = 0
+			}
+			continue
+		}
 		l.waiting = true
 		sent, was := n.now, l.id
 		id := n.id(func(in any) {
@@ -460,6 +500,7 @@
 	n.rev = max(n.rev, c.Rev)
 	n.leader.dirty = true
 	n.settleChecks()
+	n.heldAt = 0
 	n.owner.settle(n)
 	n.leader.batch.settle(n)
 }
@@ -485,8 +526,8 @@
 	case *wire.Types:
 		if e.Rev >= n.rigRev {
 			n.rigRev = e.Rev
-			if n.rigs == nil {
-				n.rigs = v.Rigs
+			if n.types == nil {
+				n.takeTypes(v.Rigs)
 			}
 		}
 	case nil:
@@ -630,6 +671,9 @@
 	})
 }
 
+// Work counts machines looked at since the start, for tests of how cost grows.
+func (n *Node) Work() uint64 { return n.work }
+
 // Ready tells whether user requests can be taken. It stays true through an
 // outage, since a removal from the balancer outlasts it.
 func (n *Node) Ready() bool { return true }
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"sort"
 
@@ -49,18 +50,19 @@
 }
 
 // takeHolds subtracts the room that is pending for gangs.
-func (n *Node) takeHolds(slots []*slot) {
+func (n *Node) takeHolds(slots *slotSet) {
 	for _, key := range n.gangKeys() {
 		g := n.gangs[key]
 		j := n.jobNamed(g.ref)
 		if j == nil || j.rec == nil || j.rec.Spec == nil {
 			continue
 		}
-		for task, h := range g.held {
+		for _, task := range slices.Sorted(maps.Keys(g.held)) {
+			h := g.held[task]
 			if slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool { return a.Task == task && a.Attempt == g.rec.Attempt && a.Host != "" }) {
 				continue // placed: counted by its record
 			}
-			for _, s := range slots {
+			for _, s := range slots.all {
 				if s.h == h {
 					s.take(j.rec.Spec)
 				}
@@ -78,7 +80,7 @@
 
 // placeGang places a gang that fits this part as a whole, and holds room for
 // our share of a larger one.
-func (n *Node) placeGang(w *writer, j *job, slots []*slot) {
+func (n *Node) placeGang(w *writer, j *job, slots *slotSet) {
 	var mine []wire.Active
 	attempt := uint64(0)
 	for _, a := range j.rec.Active {
@@ -124,11 +126,11 @@
 }
 
 // chooseAll finds machines for all the tasks or for none.
-func (n *Node) chooseAll(j *job, tasks []wire.Active, slots []*slot) []*slot {
+func (n *Node) chooseAll(j *job, tasks []wire.Active, slots *slotSet) []*slot {
 	var chosen []*slot
 	sp := j.rec.Spec
 	for _, a := range tasks {
-		s := n.best(j, slots, func(s *slot) bool { return s.part == a.Part })
+		s := slots.best(j, func(s *slot) bool { return s.part == a.Part })
 		if s == nil {
 			break
 		}
@@ -145,7 +147,7 @@
 }
 
 // ownerGang plays the owner's side of try, confirm and cancel.
-func (n *Node) ownerGang(w *writer, j *job, g *gang, mine []wire.Active, slots []*slot) {
+func (n *Node) ownerGang(w *writer, j *job, g *gang, mine []wire.Active, slots *slotSet) {
 	switch g.rec.State {
 	case wire.GangTrying:
 		if g.held == nil {
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -3,23 +3,25 @@
 import (
 	"maps"
 	"slices"
+	"sort"
 
 	"micaport/internal/wire"
 )
 
-// gossip tells the peers what we own and what room there is.
+// gossip tells the peers what we own and what has changed on it.
 func (n *Node) gossip(now bool) {
 	if now {
-		n.gossipAt = 0
+		n.gossipAt = min(n.gossipAt, n.gossipLast+gossipPause)
 		return
 	}
 	if n.now < n.gossipAt {
 		return
 	}
-	n.gossipAt = n.now + second
-	m := &wire.Gossip{
-		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(), Rev: n.rev,
-		Holds: n.holdsToTell(),
+	n.gossipAt, n.gossipLast = n.now+second, n.now
+	n.ownInfo()
+	m := wire.Gossip{
+		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(),
+		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{},
 	}
 	for _, p := range n.parts {
 		if n.valid(p) {
@@ -27,59 +29,131 @@
 			m.Terms = append(m.Terms, p.rev)
 		}
 	}
-	m.Hosts = n.ownInfo()
-	for _, h := range n.hosts {
-		if h.redirectAt > 0 && n.now-h.redirectAt < strayFor {
-			m.Strays = append(m.Strays, h.name)
-		}
+	for label, p := range n.peers {
+		m.Seen[label] = wire.Seen{Life: p.msg.Life, Ver: p.have}
 	}
 	if n.leads() {
 		m.Retire = n.leader.retireList(n)
-		m.Returned = n.leader.returned
+		m.Returned = n.leader.returnedLately(n)
 		for _, key := range n.gangKeys() {
 			if g := n.gangs[key]; g.rec.State != wire.GangDropped {
 				m.Tries = append(m.Tries, wire.Hold{Ref: g.ref, Attempt: g.rec.Attempt, OK: g.rec.State == wire.GangConfirmed})
 			}
 		}
-		n.heedLeader(m)
+		n.heedLeader(&m)
 	}
-	for _, p := range n.cfg.Members {
-		if p.Label != n.cfg.Self {
-			n.emit(Send{To: p.Label, Msg: m})
+	// Peers that have seen as much get the same message.
+	made := map[uint64]*wire.Gossip{}
+	for _, x := range n.cfg.Members {
+		if x.Label == n.cfg.Self {
+			continue
 		}
+		base := n.seenBy(x.Label)
+		if made[base] == nil {
+			made[base] = n.withChanges(m, base, len(n.hosts))
+		}
+		n.emit(Send{To: x.Label, Msg: made[base]})
 	}
 	n.gossipByStore(m)
 }
 
+// gossipPause is the least time between two messages: what happens at once on
+// many machines is told at once.
+const gossipPause = 150 * 1e6
+
+// seenBy is how far a peer has taken in what we tell of our machines. A peer
+// that says nothing of this life of ours is told everything.
+func (n *Node) seenBy(label string) uint64 {
+	if p := n.peers[label]; p != nil {
+		if s := p.msg.Seen[n.cfg.Self]; s.Life == n.cfg.Life {
+			return s.Ver
+		}
+	}
+	return 0
+}
+
+// note puts a change of our own view of a machine on the list that the peers
+// get.
+func (n *Node) note(h *host) {
+	n.ver++
+	h.ver = n.ver
+	n.told = append(n.told, change{n.ver, h.ix})
+	if len(n.told) > 2*len(n.hosts)+64 {
+		n.told = slices.DeleteFunc(n.told, func(c change) bool { return n.hosts[c.host].ver != c.ver })
+	}
+}
+
+// change is an entry of the list of changes; it is out of date once the
+// machine has a later one.
+type change struct {
+	ver  uint64
+	host int
+}
+
+// withChanges completes a message with up to limit machines that changed after
+// base. It always takes the earliest, so that the receiver has all there is
+// up to the version that the message names, and a lost or repeated one does no
+// harm.
+func (n *Node) withChanges(m wire.Gossip, base uint64, limit int) *wire.Gossip {
+	m.Since, m.Ver = base, n.ver
+	var names wire.Interner
+	at := sort.Search(len(n.told), func(i int) bool { return n.told[i].ver > base })
+	for _, c := range n.told[at:] {
+		h := n.hosts[c.host]
+		n.work++
+		if h.ver != c.ver || h.part < 0 || !n.valid(n.parts[h.part]) || !h.info.known {
+			continue
+		}
+		if len(m.Hosts) >= limit {
+			m.Ver = c.ver - 1
+			break
+		}
+		i := wire.HostInfo{Name: h.name, Zone: names.Of(n.zones.Name(h.zone)), Errors: h.info.errors,
+			Flags: wire.Flags(h.spot, h.info.leaving, h.info.retiring, h.info.sick, h.info.lost, h.info.unsure) + h.info.quiet<<8}
+		if h.rig >= 0 {
+			i.Rig = names.Of(n.rigs.Name(h.rig))
+		}
+		h.images.each(func(im int) { i.Images = append(i.Images, names.Of(n.images.Name(im))) })
+		m.Hosts = append(m.Hosts, i)
+	}
+	for i := range names.Len() {
+		m.Names = append(m.Names, names.Name(i))
+	}
+	return &m
+}
+
 // gossipByStore leaves the message with the state service while some peer
 // can't be heard. Zones that are cut from each other both reach the service,
 // so the leader goes on knowing the machines on the other side. Nothing rests
 // on it: a message that is lost, late or old costs a better choice, no more.
-func (n *Node) gossipByStore(m *wire.Gossip) {
+// It holds as many changes as fit a value; the rest follows with the next.
+func (n *Node) gossipByStore(m wire.Gossip) {
 	if n.now < n.roomAt || !n.storeOK || n.now < 10*second {
 		return
 	}
-	silent := false
+	silent, base := false, n.ver
 	for _, x := range n.cfg.Members {
-		p := n.peers[x.Label]
-		silent = silent || x.Label != n.cfg.Self && (p == nil || p.byStore || n.now-p.at > 3*second)
+		if x.Label == n.cfg.Self {
+			continue
+		}
+		if p := n.peers[x.Label]; p == nil || p.byStore || n.now-p.at > 3*second {
+			silent = true
+			if p != nil { // one that was never heard may be dead; it will ask
+				base = min(base, n.seenBy(x.Label))
+			}
+		}
 	}
 	if !silent {
 		return
 	}
 	n.roomAt = n.now + n.cfg.Report
-	short := *m
-	// 220 bytes are ample for a machine without its images.
-	if room := n.cfg.ValueBytes/220 - 6; len(short.Hosts) > room {
-		short.Hosts = short.Hosts[:max(room, 0)]
-	}
-	short.Hosts = slices.Clone(short.Hosts)
-	for i := range short.Hosts {
-		short.Hosts[i].Images = nil
-	}
-	short.Returned = short.Returned[max(0, len(short.Returned)-20):]
-	short.Retire = short.Retire[:min(len(short.Retire), 20)]
-	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: &short}}, func(Committed) {})
+	m.Returned = m.Returned[max(0, len(m.Returned)-20):]
+	m.Retire = m.Retire[:min(len(m.Retire), 20)]
+	m.Strays = m.Strays[:min(len(m.Strays), 20)]
+	// 40 bytes are ample for a machine, with six images; names and the rest
+	// stay well within a quarter of the value.
+	short := n.withChanges(m, base, max(1, n.cfg.ValueBytes*5/8/40))
+	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
 }
 
 // gossipFromStore takes a message left with the state service, unless the
@@ -94,47 +168,51 @@
 	}
 }
 
-// ownInfo describes the machines of our parts, and keeps the same view that
-// the peers get of them.
-func (n *Node) ownInfo() []wire.HostInfo {
-	var out []wire.HostInfo
-	fresh, all := map[int]int{}, map[int]int{}
-	for _, h := range n.hosts {
-		if h.part >= 0 && n.valid(n.parts[h.part]) && h.term == n.parts[h.part].rev && !h.returned {
-			all[h.part]++
-			if n.now-h.heard < 2*n.cfg.Report {
-				fresh[h.part]++
-			}
-		}
-	}
-	for _, h := range n.hosts {
-		if h.part < 0 || h.returned {
-			continue
-		}
-		p := n.parts[h.part]
-		if !n.valid(p) || h.term != p.rev {
-			continue
-		}
-		silent := n.now - h.heard
-		if silent > 3*n.cfg.Lease && len(h.jobs) == 0 {
+// ownInfo brings our view of our own machines up to date.
+func (n *Node) ownInfo() {
+	for _, p := range n.parts {
+		if !n.valid(p) {
 			continue
 		}
-		i := wire.HostInfo{
-			Name: h.name, Rig: h.rig, Zone: h.zone, Spot: h.spot, SilentS: silent.Seconds(),
-			Leaving: h.leavingAt > 0, Retiring: h.retiring, Sick: h.sick, Errors: len(h.errJobs),
-			// Machines could not report to us before we could answer.
-			Lost: n.lost(h, min(silent, n.now-p.validSince), 2*fresh[h.part] > all[h.part]),
+		fresh, all := 0, 0
+		for _, h := range p.hosts {
+			if h.term == p.rev && !h.returned {
+				all++
+				if n.now-h.heard < 2*n.cfg.Report {
+					fresh++
+				}
+			}
 		}
-		i.FetchGB = n.fetchGB(h)
-		for im := range n.images.Len() {
-			if h.images[im] {
-				i.Images = append(i.Images, n.images.Name(im))
+		for _, h := range p.hosts {
+			n.work++
+			if h.term != p.rev {
+				continue
+			}
+			silent := n.now - h.heard
+			v := view{known: true, leaving: h.leavingAt > 0, retiring: h.retiring, sick: h.sick, unsure: !h.token,
+				errors: len(h.errJobs), images: n.countImages(h)}
+			switch {
+			case silent > 3*n.cfg.Report:
+				v.quiet = 2
+			case silent > 2*n.cfg.Report:
+				v.quiet = 1
+			}
+			// Machines could not report to us before we could answer. A deaf
+			// one is as good as lost: all it does ends with its lease.
+			v.lost = h.deaf || n.lost(h, min(silent, n.now-p.validSince), 2*fresh > all)
+			if v != h.info || h.infoTerm != p.rev {
+				h.info, h.infoTerm = v, p.rev
+				n.note(h)
+				n.leader.dirty = true
 			}
 		}
-		h.info, h.infoAt = i, n.now
-		out = append(out, i)
 	}
-	return out
+}
+
+func (n *Node) countImages(h *host) int {
+	c := 0
+	h.images.each(func(int) { c++ })
+	return c
 }
 
 // imagePause is how often the images on our machines are written down. What
@@ -148,25 +226,40 @@
 		return
 	}
 	n.imagesAt = n.now + imagePause
-	rec := &wire.Images{Hosts: map[string][]string{}}
+	rec := &wire.Images{Hosts: map[string][]int{}}
 	count := 0
-	room := n.cfg.ValueBytes / 2 // in bytes, which names below stay well within
-	for _, h := range n.hosts {
-		if h.part < 0 || h.returned || !n.valid(n.parts[h.part]) || h.term != n.parts[h.part].rev {
+	room := n.cfg.ValueBytes * 3 / 4 // in bytes, which the sums below stay well within
+	var names wire.Interner
+	for _, p := range n.parts {
+		if !n.valid(p) {
 			continue
 		}
-		for im := range n.images.Len() {
-			if name := n.images.Name(im); h.images[im] && room > 0 {
-				rec.Hosts[h.name] = append(rec.Hosts[h.name], name)
-				room -= len(name) + 3
-				count++
+		for _, h := range p.hosts {
+			if h.returned || h.term != p.rev || len(h.images) == 0 {
+				continue
+			}
+			if room -= len(h.name) + 6; room < 0 {
+				break
 			}
+			h.images.each(func(im int) {
+				name := n.images.Name(im)
+				if names.Find(name) < 0 {
+					room -= len(name) + 3
+				}
+				if room -= 4; room > 0 {
+					rec.Hosts[h.name] = append(rec.Hosts[h.name], names.Of(name))
+					count++
+				}
+			})
 		}
 	}
 	if count == n.imagesKept {
 		return
 	}
 	n.imagesKept = count
+	for i := range names.Len() {
+		rec.Names = append(rec.Names, names.Name(i))
+	}
 	n.commit(Bulk, nil, []Write{{Key: wire.ImagePrefix + n.cfg.Self, Value: rec}}, func(Committed) {})
 }
 
@@ -178,7 +271,9 @@
 		}
 		h := n.hostOf(name)
 		for _, im := range rec.Hosts[name] {
-			h.images[n.images.Of(im)] = true
+			if im >= 0 && im < len(rec.Names) {
+				h.images.add(n.images.Of(rec.Names[im]))
+			}
 		}
 	}
 }
@@ -187,6 +282,24 @@
 // does not own it.
 const strayFor = 12 * second
 
+// strays names machines of others that came here lately although their owner
+// says that it misses their reports. It needs no others.
+func (n *Node) strays() []string {
+	var out []string
+	n.strayed = slices.DeleteFunc(n.strayed, func(ix int) bool {
+		h := n.hosts[ix]
+		if h.redirectAt == 0 || n.now-h.redirectAt >= strayFor {
+			h.straying = false
+			return true
+		}
+		if h.info.quiet > 0 && len(out) < 500 {
+			out = append(out, h.name)
+		}
+		return false
+	})
+	return out
+}
+
 // lost tells whether a silent machine is dead or hangs, rather than cut from
 // us: its neighbours still report, or it has not turned to any peer either.
 func (n *Node) lost(h *host, silent Time, neighbours bool) bool {
@@ -214,12 +327,17 @@
 
 // fetchGB sums the images that a machine is fetching, or about to.
 func (n *Node) fetchGB(h *host) float64 {
-	seen := map[int]bool{}
 	sum := 0.0
-	for _, jx := range h.jobs {
-		j := n.jobs[jx]
-		if j.rec.Spec != nil && !h.images[j.image] && !seen[j.image] {
-			seen[j.image] = true
+	for i := range h.on {
+		j := n.jobs[h.on[i].job]
+		if j.rec.Spec == nil || h.images.has(j.image) {
+			continue
+		}
+		twice := false
+		for k := range i {
+			twice = twice || n.jobs[h.on[k].job].image == j.image
+		}
+		if !twice {
 			sum += j.rec.Spec.ImageGB
 		}
 	}
@@ -235,10 +353,42 @@
 	if !m.StoreOK && (was == nil || was.msg.StoreOK) {
 		n.refusedSince[m.From] = n.now
 	}
-	n.peers[m.From] = &peer{at: n.now, msg: m}
+	p := &peer{at: n.now, msg: m}
+	if was != nil && was.msg.Life == m.Life {
+		if p.have = was.have; m.UpS < was.msg.UpS {
+			return // overtaken by a newer one
+		}
+	}
+	n.peers[m.From] = p
+	// Changes after a version that we have not reached leave a gap: what we
+	// say we have seen makes the peer tell it again.
+	if m.Since <= p.have && m.Ver >= p.have {
+		p.have = m.Ver
+		n.takeHosts(m)
+	}
+	n.hearHolds(m.Holds)
+	// A newer term than our copy shows means that we have lost the part and
+	// can't see it: we are refused by the state service.
+	for i, ix := range m.Parts {
+		if ix >= 0 && ix < len(n.parts) && i < len(m.Terms) && m.Terms[i] > n.parts[ix].rev {
+			n.putPart(n.parts[ix], &wire.Part{Owner: m.From, Life: m.Life}, m.Terms[i])
+		}
+	}
+	n.heedLeader(m)
+}
+
+// takeHosts takes what a peer says of its machines.
+func (n *Node) takeHosts(m *wire.Gossip) {
+	name := func(i int) string {
+		if i < 0 || i >= len(m.Names) {
+			return ""
+		}
+		return m.Names[i]
+	}
 	for i := range m.Hosts {
+		n.work++
 		info := &m.Hosts[i]
-		part := n.partOf(info.Zone, info.Name)
+		part := n.partOf(n.zones.Find(name(info.Zone)), info.Name)
 		if part < 0 {
 			continue
 		}
@@ -246,26 +396,29 @@
 		if n.holds(n.parts[part]) {
 			continue // we know better
 		}
-		h.part, h.rig, h.zone, h.spot = part, info.Rig, info.Zone, info.Spot
-		h.info, h.infoAt = *info, n.now-Time(info.SilentS*float64(second))
-		h.retiring = info.Retiring
-		if h.infoAt > h.bounceAt {
-			h.bounceAt = 0 // it has reached its owner since
+		n.setPart(h, part)
+		if rig := name(info.Rig); rig != "" {
+			h.rig = n.rigs.Of(rig)
 		}
-		for _, im := range info.Images {
-			h.images[n.images.Of(im)] = true
+		f := info.Flags
+		h.spot = f&wire.FlagSpot != 0
+		h.info = view{known: true, leaving: f&wire.FlagLeaving != 0, retiring: f&wire.FlagRetiring != 0, sick: f&wire.FlagSick != 0,
+			lost: f&wire.FlagLost != 0, unsure: f&wire.FlagUnsure != 0, quiet: f >> 8, errors: info.Errors}
+		h.infoTerm = n.parts[part].rev
+		for k, ix := range m.Parts {
+			if ix == part && k < len(m.Terms) {
+				h.infoTerm = m.Terms[k]
+			}
 		}
-	}
-	n.hearHolds(m.Holds)
-	// A newer term than our copy shows means that we have lost the part and
-	// can't see it: we are refused by the state service.
-	for i, ix := range m.Parts {
-		if ix >= 0 && ix < len(n.parts) && i < len(m.Terms) && m.Terms[i] > n.parts[ix].rev {
-			n.putPart(n.parts[ix], &wire.Part{Owner: m.From, Life: m.Life}, m.Terms[i])
+		h.retiring = h.info.retiring
+		if h.info.quiet == 0 {
+			h.bounceAt = 0 // it has reached its owner
+		}
+		for _, im := range info.Images {
+			h.images.add(n.images.Of(name(im)))
 		}
 	}
-	n.heedLeader(m)
-	n.leader.dirty = true
+	n.leader.dirty = n.leader.dirty || len(m.Hosts) > 0
 }
 
 // heedLeader does what the leader asks of owners.
@@ -278,17 +431,23 @@
 			n.hosts[ix].returned = true
 		}
 	}
-	for _, h := range n.hosts {
-		if h.part >= 0 && n.holds(n.parts[h.part]) {
-			h.retiring = h.retiring && contains(m.Retire, h.name)
-		}
-	}
+	asked := make(map[string]bool, len(m.Retire))
 	for _, name := range m.Retire {
+		asked[name] = true
 		if ix := n.hostIx.Find(name); ix >= 0 {
 			h := n.hosts[ix]
-			if h.part >= 0 && n.holds(n.parts[h.part]) && len(h.jobs) == 0 && len(h.tasks) == 0 {
+			if h.part >= 0 && n.holds(n.parts[h.part]) && len(h.on) == 0 && len(h.tasks) == 0 && !h.retiring {
 				h.retiring = true
+				n.retiring = append(n.retiring, h.ix)
+				n.gossip(true)
 			}
 		}
 	}
+	n.retiring = slices.DeleteFunc(n.retiring, func(ix int) bool {
+		h := n.hosts[ix]
+		if h.retiring && !asked[h.name] {
+			h.retiring = false
+		}
+		return !h.retiring || h.returned
+	})
 }
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -9,10 +10,12 @@
 
 // pool is a kind of machine at a place.
 type pool struct {
-	rig, zone string
+	rig, zone int
 	spot      bool
 }
 
+func (s *slot) pool() pool { return pool{s.rig, s.zone, s.spot} }
+
 // cloudState is the leader's dealings with the cloud.
 type cloudState struct {
 	hireSeq  int
@@ -26,6 +29,7 @@
 	listing  bool
 	flavAt   Time
 	returnAt Time
+	idleAt   Time
 	giving   bool
 	stray    map[string]Time // listed as running, but never heard of
 }
@@ -71,7 +75,7 @@
 	term := n.leader.rev
 	if n.now >= c.flavAt {
 		c.flavAt = n.now + 30*second
-		if n.rigs == nil || n.rigsAt == 0 {
+		if n.types == nil || n.rigsAt == 0 {
 			c.flavAt = n.now + 2*second
 		}
 		n.cloudCall(Cloud{Flavors: true}, func(r Clouded) {
@@ -87,7 +91,10 @@
 				return
 			}
 			c.listing = false
-			c.listAt = n.now + max(4*second, n.cfg.ListLag/2)
+			// A list of several pages may take a fifth of what the cloud
+			// allows; most of it is for renting and returning.
+			pages := Time(len(r.Machines)/500 + 1)
+			c.listAt = n.now + max(4*second, n.cfg.ListLag/2, Time(float64((pages-1)*5*second)/max(n.cfg.CloudRPS, 0.1)))
 			if r.Outcome == OK {
 				n.takeList(r.Machines)
 			}
@@ -107,18 +114,35 @@
 	}
 }
 
+// takeTypes takes the machine types, by name and by index.
+func (n *Node) takeTypes(f []wire.Flavor) {
+	n.types = f
+	for i := range f {
+		ix := n.rigs.Of(f[i].Name)
+		for len(n.flavors) <= ix {
+			n.flavors = append(n.flavors, nil)
+		}
+		n.flavors[ix] = &f[i]
+	}
+	n.leader.dirty = true
+}
+
 func (n *Node) takeFlavors(f []wire.Flavor) {
-	changed := len(f) != len(n.rigs)
+	changed := len(f) != len(n.types)
 	for i := range f {
-		changed = changed || n.rigs[i].Name != f[i].Name
+		changed = changed || n.types[i].Name != f[i].Name
 	}
-	n.rigs, n.rigsAt = f, n.now
+	n.takeTypes(f)
+	n.rigsAt = n.now
 	if changed || n.rigRev == 0 {
 		n.commit(Bulk, []Cond{{wire.LeaderKey, n.leader.rev}},
 			[]Write{{Key: wire.TypesKey, Value: &wire.Types{Rigs: f}}}, func(Committed) {})
 	}
 }
 
+// noCapacityPause is how long a pool that had no more machines is left alone.
+const noCapacityPause = 10 * second
+
 func (n *Node) hired(h *hiring, r Clouded) {
 	c := &n.leader.cloud
 	done := true
@@ -128,11 +152,11 @@
 			c.booting[name] = &bootingHost{pool: h.pool, since: n.now}
 		}
 		if len(r.Hosts) < h.req.Count {
-			c.backoff[h.pool] = n.now + 10*second
+			c.backoff[h.pool] = n.now + noCapacityPause
 		}
-		n.log(1, "hired", "rig", h.pool.rig, "zone", h.pool.zone, "spot", h.pool.spot, "wanted", h.req.Count, "got", r.Hosts)
+		n.log(1, "hired", "rig", h.req.Rig, "zone", h.req.Zone, "spot", h.req.Spot, "wanted", h.req.Count, "got", len(r.Hosts))
 	case Full:
-		c.backoff[h.pool] = n.now + 10*second
+		c.backoff[h.pool] = n.now + noCapacityPause
 	case Refused:
 		c.backoff[h.pool] = n.now + 2*second
 	default:
@@ -155,11 +179,11 @@
 		m := &list[i]
 		listed[m.Name] = true
 		ix := n.hostIx.Find(m.Name)
-		known := ix >= 0 && n.hosts[ix].info.Name != ""
+		known := ix >= 0 && n.hosts[ix].info.known
 		if ix >= 0 && n.hosts[ix].returned {
 			continue
 		}
-		r := n.rigOf(m.Rig)
+		r := n.flavor(n.rigs.Find(m.Rig))
 		switch {
 		case m.Status == wire.MachineFailed:
 			back = append(back, m.Name)
@@ -169,7 +193,7 @@
 		case m.Status == wire.MachineBooting:
 			b := c.booting[m.Name]
 			if b == nil {
-				b = &bootingHost{pool: pool{m.Rig, m.Zone, m.Spot}, since: n.now - Time(m.AgeS*float64(second))}
+				b = &bootingHost{pool: pool{n.rigs.Of(m.Rig), n.zones.Of(m.Zone), m.Spot}, since: n.now - Time(m.AgeS*float64(second))}
 				c.booting[m.Name] = b
 			}
 			b.seen = true
@@ -204,15 +228,9 @@
 	giveUpBoot = 2.0
 )
 
-// hopedFor lists machines that are on their way, as room to plan with.
-func (n *Node) hopedFor() []*slot {
+// hopedFor adds machines that are on their way, as room to plan with.
+func (n *Node) hopedFor(p *plan) {
 	c := &n.leader.cloud
-	var out []*slot
-	add := func(p pool) {
-		if s := n.newSlot(p); s != nil {
-			out = append(out, s)
-		}
-	}
 	names := make([]string, 0, len(c.booting))
 	for name := range c.booting {
 		names = append(names, name)
@@ -220,87 +238,87 @@
 	sort.Strings(names)
 	for _, name := range names {
 		b := c.booting[name]
-		if ix := n.hostIx.Find(name); ix >= 0 && n.hosts[ix].info.Name != "" {
+		if ix := n.hostIx.Find(name); ix >= 0 && n.hosts[ix].info.known {
 			delete(c.booting, name)
 			continue
 		}
-		if r := n.rigOf(b.pool.rig); r != nil && (n.now-b.since).Seconds() > lateBoot*r.BootS+3 {
+		if r := n.flavor(b.pool.rig); r != nil && (n.now-b.since).Seconds() > lateBoot*r.BootS+3 {
 			continue // late: plan without it
 		}
-		add(b.pool)
+		p.await(b.pool)
 	}
 	for _, h := range c.hires {
 		for range h.req.Count {
-			add(h.pool)
+			p.await(h.pool)
 		}
 	}
-	return out
 }
 
-func (n *Node) newSlot(p pool) *slot {
-	r := n.rigOf(p.rig)
+// await adds a machine that is to come.
+func (p *plan) await(x pool) *slot {
+	s := p.n.newSlot(x)
+	if s != nil {
+		p.hope.add(s)
+		p.count[x]++
+	}
+	return s
+}
+
+func (n *Node) newSlot(x pool) *slot {
+	r := n.flavor(x.rig)
 	if r == nil {
 		return nil
 	}
 	part := -1
-	for _, x := range n.parts {
-		if x.zone == p.zone {
-			part = x.ix
+	for _, y := range n.parts {
+		if y.zone == x.zone {
+			part = y.ix
 			break
 		}
 	}
-	return &slot{part: part, zone: p.zone, rig: p.rig, spot: p.spot, rigRef: r, cores: r.Cores, cards: r.Cards, mem: r.MemoryGB}
+	return &slot{part: part, zone: x.zone, rig: x.rig, spot: x.spot, rigRef: r, cores: r.Cores, cards: r.Cards, mem: r.MemoryGB}
 }
 
-// pools lists the pools that a task may be put on, cheapest first.
-func (p *plan) pools(sp *wire.Spec) []pool {
-	n := p.n
-	type priced struct {
-		pool
-		price float64
-	}
-	var list []priced
-	for i := range n.rigs {
-		r := &n.rigs[i]
-		if !rigAllowed(sp, r.Name) || !fitsRig(sp, r) {
+type priced struct {
+	pool
+	price float64
+}
+
+// pools lists the pools that a job's tasks may be put on, cheapest first.
+func (p *plan) pools(j *job) []priced {
+	n, sp := p.n, j.rec.Spec
+	list := make([]priced, 0, 8)
+	for ix, r := range n.flavors {
+		if r == nil || !fitsRig(sp, r) {
 			continue
 		}
-		for _, z := range r.Zones {
-			if sp.Zone != "" && sp.Zone != z || n.partOf(z, "") < 0 {
+		for _, name := range r.Zones {
+			z := n.zones.Find(name)
+			if z < 0 || n.partOf(z, "") < 0 {
 				continue
 			}
-			if sp.Spot && r.SpotPrice > 0 {
-				list = append(list, priced{pool{r.Name, z, true}, r.SpotPrice})
+			if r.SpotPrice > 0 && j.allows(ix, z, true) {
+				list = append(list, priced{pool{ix, z, true}, r.SpotPrice})
 			}
-			list = append(list, priced{pool{r.Name, z, false}, r.Price})
-		}
-	}
-	if p.count == nil { // profiled: counting anew for each task took most of a pass
-		p.count = map[pool]int{}
-		for _, l := range [][]*slot{p.slots, p.hope} {
-			for _, s := range l {
-				p.count[pool{s.rig, s.zone, s.spot}]++
+			if j.allows(ix, z, false) {
+				list = append(list, priced{pool{ix, z, false}, r.Price})
 			}
 		}
 	}
-	sort.SliceStable(list, func(a, b int) bool {
-		if list[a].price != list[b].price {
-			return list[a].price < list[b].price
+	slices.SortStableFunc(list, func(a, b priced) int {
+		if a.price != b.price {
+			return cmp.Compare(a.price, b.price)
 		}
-		return p.count[list[a].pool] < p.count[list[b].pool]
+		return cmp.Compare(p.count[a.pool], p.count[b.pool])
 	})
-	out := make([]pool, len(list))
-	for i := range list {
-		out[i] = list[i].pool
-	}
-	return out
+	return list
 }
 
 func (p *plan) open(x pool) bool { return p.n.now >= p.n.leader.cloud.backoff[x] }
 
-func (p *plan) canHire(sp *wire.Spec, zone string) bool {
-	for _, x := range p.pools(sp) {
-		if (zone == "" || x.zone == zone) && p.open(x) {
+func (p *plan) canHire(j *job, zone int) bool {
+	for _, x := range p.pools(j) {
+		if (zone < 0 || x.zone == zone) && p.open(x.pool) {
 			return true
 		}
 	}
@@ -310,18 +328,16 @@
 // hireFor adds a machine to be hired for a task, if there may be one.
 func (p *plan) hireFor(w *want, ok func(*slot) bool) *slot {
 	n := p.n
-	if n.cfg.MaxMachines > 0 && len(p.slots)+len(p.hope) >= n.cfg.MaxMachines {
+	if n.cfg.MaxMachines > 0 && len(p.up.all)+len(p.hope.all) >= n.cfg.MaxMachines {
 		return nil
 	}
-	for _, x := range p.pools(w.j.rec.Spec) {
-		if !p.open(x) {
+	for _, x := range p.pools(w.j) {
+		if !p.open(x.pool) {
 			continue
 		}
-		if s := n.newSlot(x); s != nil && ok(s) {
-			p.hires[x]++
-			p.count[x]++
-			p.hope = append(p.hope, s)
-			return s
+		if s := n.newSlot(x.pool); s != nil && ok(s) {
+			p.hires[x.pool]++
+			return p.await(x.pool)
 		}
 	}
 	return nil
@@ -336,6 +352,9 @@
 		ask = append(ask, x)
 	}
 	sort.Slice(ask, func(a, b int) bool {
+		if p.hires[ask[a]] != p.hires[ask[b]] {
+			return p.hires[ask[a]] > p.hires[ask[b]] // a call rents 50 at most
+		}
 		if ask[a].zone != ask[b].zone {
 			return ask[a].zone < ask[b].zone
 		}
@@ -344,29 +363,43 @@
 		}
 		return ask[a].spot && !ask[b].spot
 	})
-	for _, x := range ask {
-		if slices.ContainsFunc(c.hires, func(h *hiring) bool { return h.pool == x }) {
-			continue
-		}
-		if len(p.slots) == 0 {
+	// Calls are scarce: what waits for one is better planned anew and asked
+	// for in larger numbers.
+	room := max(2, int(2*n.cfg.CloudRPS)) - len(c.hires)
+	for ; room > 0 && len(ask) > 0; room-- {
+		x := ask[0]
+		if len(p.up.all) == 0 {
 			// Nothing runs yet. Boot times differ by more than a factor of
 			// two, so some more machines mean that the first are up sooner.
-			p.hires[x] += (p.hires[x] + 1) / 2
+			p.hires[x] += min((p.hires[x]+1)/2, extraBoots)
 		}
+		k := min(p.hires[x], 50)
 		c.hires = append(c.hires, &hiring{pool: x, first: n.now,
-			req: wire.Hire{Name: n.hireName(), Rig: x.rig, Zone: x.zone, Spot: x.spot, Count: min(p.hires[x], 50)}})
+			req: wire.Hire{Name: n.hireName(), Rig: n.rigs.Name(x.rig), Zone: n.zones.Name(x.zone), Spot: x.spot, Count: k}})
+		if p.hires[x] -= k; p.hires[x] == 0 {
+			ask = ask[1:]
+		} else {
+			ask = append(ask[1:], x)
+		}
+	}
+	if n.now >= c.idleAt {
+		c.idleAt = n.now + second
+		n.returnIdle(p, idle)
 	}
-	n.returnIdle(p, idle)
 }
 
+// extraBoots bounds how many machines more are asked for in one call while
+// nothing runs.
+const extraBoots = 10
+
 // returnIdle picks machines that stood idle, are sick or are lost, and gives
 // them back once their owner has let go of them.
 func (n *Node) returnIdle(p *plan, idle map[*slot]bool) {
 	c := &n.leader.cloud
 	spares := map[pool]int{}
-	for _, s := range p.slots {
+	for _, s := range p.up.all {
 		h := s.h
-		unused := idle[s] && s.cards == s.rigRef.Cards && s.cores == s.rigRef.Cores
+		unused := idle[s] && s.untouched() && !s.reserved
 		if !unused {
 			delete(c.idleFrom, h.name)
 			continue
@@ -381,7 +414,7 @@
 			}
 			continue
 		}
-		x := pool{h.rig, h.zone, h.spot}
+		x := s.pool()
 		if spares[x]++; spares[x] <= n.cfg.Spares {
 			continue
 		}
@@ -389,14 +422,16 @@
 			c.retiring[h.name] = true
 		}
 	}
-	for _, h := range n.hosts {
-		if h.returned || h.info.Name == "" || h.part < 0 {
-			continue
-		}
-		if h.info.Lost || h.info.Sick && len(h.jobs) == 0 {
-			c.retiring[h.name] = true
-		} else if c.retiring[h.name] && len(h.jobs) > 0 && !h.retiring {
-			delete(c.retiring, h.name) // its owner has placed something meanwhile
+	for _, y := range n.parts {
+		for _, h := range y.hosts {
+			if h.returned || !h.info.known {
+				continue
+			}
+			if h.info.lost || h.info.sick && len(h.on) == 0 {
+				c.retiring[h.name] = true
+			} else if len(h.on) > 0 && !h.retiring && c.retiring[h.name] {
+				delete(c.retiring, h.name) // its owner has placed something meanwhile
+			}
 		}
 	}
 	if c.giving || n.now < c.returnAt {
@@ -409,9 +444,9 @@
 			delete(c.retiring, name)
 			continue
 		}
-		if ix >= 0 && n.hosts[ix].info.Name != "" {
+		if ix >= 0 && n.hosts[ix].info.known {
 			h := n.hosts[ix]
-			if !h.info.Lost && !(h.retiring && len(h.jobs) == 0) {
+			if !h.info.lost && !(h.retiring && len(h.on) == 0) {
 				continue
 			}
 		}
@@ -442,10 +477,7 @@
 			delete(c.retiring, name)
 			delete(c.booting, name)
 			delete(c.stray, name)
-			n.leader.returned = append(n.leader.returned, name)
-		}
-		if over := len(n.leader.returned) - 200; over > 0 {
-			n.leader.returned = n.leader.returned[over:]
+			n.leader.returned = append(n.leader.returned, returned{name, n.now})
 		}
 		n.log(1, "returned", "hosts", give)
 		n.gossip(true)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -9,16 +9,24 @@
 
 // job is our copy of a job's record, with what follows from it.
 type job struct {
-	ix    int
-	ref   string
-	rec   *wire.Job
-	rev   uint64
-	image int
-	prio  int
+	ix        int
+	ref       string
+	rec       *wire.Job
+	rev       uint64
+	image     int
+	prio      int
+	team      int // -1: not one of ours
+	zone      int // the only one allowed, or -1
+	rigs      set // the types allowed, unless any is
+	any       bool
+	spot      bool
+	pend      []int // tasks neither done nor active; good while pendKnown
+	pendKnown bool
+	unplaced  int // active tasks granted but not placed
 	// Leader's memory; lost without harm.
 	blockedSince Time
-	gangZone     string // where room is being made for it
-	preemptAt    Time   // not before this is anything stopped for it again
+	gangZone     int  // where room is being made for it; -1: nowhere yet
+	preemptAt    Time // not before this is anything stopped for it again
 	notBefore    Time
 	errorsSeen   int
 	changed      Time // when our copy last changed
@@ -41,7 +49,7 @@
 func (n *Node) putJob(ref string, rec *wire.Job, rev uint64) {
 	ix := n.refs.Of(ref)
 	if ix == len(n.jobs) {
-		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1})
+		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1, team: -1, zone: -1, gangZone: -1})
 	}
 	j := n.jobs[ix]
 	if rev <= j.rev {
@@ -50,24 +58,48 @@
 	if j.rec != nil {
 		n.unindex(j)
 	}
-	j.rec, j.rev, j.changed = rec, rev, n.now
+	j.rec, j.rev, j.changed, j.pendKnown = rec, rev, n.now, false
 	if rec == nil {
 		n.setLive(j, false)
 		return
 	}
-	if rec.Spec != nil {
-		j.image = n.images.Of(rec.Spec.Image)
-		j.prio = priority(rec.Spec.Urgency)
+	if rec.Spec != nil && j.image < 0 {
+		n.describe(j, rec.Spec)
 	}
 	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
 		// A job that fails everywhere waits longer each time.
 		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
 	}
 	j.errorsSeen = rec.Errors
+	j.unplaced = 0
+	for i := range rec.Active {
+		if rec.Active[i].Host == "" {
+			j.unplaced++
+		}
+	}
 	n.index(j)
 	n.setLive(j, rec.State == wire.Live || len(rec.Active) > 0)
 }
 
+// describe maps the names in a specification to indices.
+func (n *Node) describe(j *job, sp *wire.Spec) {
+	j.image = n.images.Of(sp.Image)
+	j.prio = priority(sp.Urgency)
+	j.team = n.teams.Find(sp.Team)
+	if sp.Zone != "" {
+		j.zone = n.zones.Of(sp.Zone)
+	}
+	j.spot, j.any = sp.Spot, len(sp.Rigs) == 0 && !sp.RigsForbidAll
+	for _, name := range sp.Rigs {
+		j.rigs.add(n.rigs.Of(name))
+	}
+}
+
+// allows tells whether a job's tasks may run on a kind of machine at a place.
+func (j *job) allows(rig, zone int, spot bool) bool {
+	return (j.any || j.rigs.has(rig)) && (j.zone < 0 || j.zone == zone) && (j.spot || !spot)
+}
+
 func (n *Node) setLive(j *job, on bool) {
 	at, found := slices.BinarySearch(n.live, j.ix)
 	if on && !found {
@@ -77,26 +109,30 @@
 	}
 }
 
-// index keeps, for every machine, the jobs that have tasks on it.
+// index keeps, for every machine, the tasks that records put on it.
 func (n *Node) index(j *job) {
-	for _, a := range j.rec.Active {
-		if a.Host != "" {
-			h := n.hostOf(a.Host)
-			h.part = a.Part
-			if at, found := slices.BinarySearch(h.jobs, j.ix); !found {
-				h.jobs = slices.Insert(h.jobs, at, j.ix)
-			}
+	for i := range j.rec.Active {
+		a := &j.rec.Active[i]
+		if a.Host == "" {
+			continue
+		}
+		h := n.hostOf(a.Host)
+		n.setPart(h, a.Part)
+		at := len(h.on)
+		for at > 0 && h.on[at-1].job > j.ix {
+			at--
 		}
+		h.on = slices.Insert(h.on, at, placed{part: a.Part, stop: a.Stop, session: a.Session, taskKey: taskKey{j.ix, a.Task, a.Attempt}})
+		h.roomKnown = false
 	}
 }
 
 func (n *Node) unindex(j *job) {
-	for _, a := range j.rec.Active {
-		if a.Host != "" {
+	for i := range j.rec.Active {
+		if a := &j.rec.Active[i]; a.Host != "" {
 			h := n.hostOf(a.Host)
-			if at, found := slices.BinarySearch(h.jobs, j.ix); found {
-				h.jobs = slices.Delete(h.jobs, at, at+1)
-			}
+			h.on = slices.DeleteFunc(h.on, func(p placed) bool { return p.job == j.ix })
+			h.roomKnown = false
 		}
 	}
 }
@@ -179,6 +215,14 @@
 	return s
 }
 
+// waitingTasks lists up to limit tasks that wait to be granted.
+func (n *Node) waitingTasks(j *job, limit int) []int {
+	if !j.pendKnown {
+		j.pend, j.pendKnown = pendingTasks(j.rec, n.activeLimit()), true
+	}
+	return j.pend[:max(0, min(limit, len(j.pend)))]
+}
+
 // pendingTasks lists up to limit tasks that are neither done nor active,
 // lowest first, so that the done set stays a few ranges.
 func pendingTasks(r *wire.Job, limit int) []int {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -21,7 +21,26 @@
 
 	cloud cloudState
 	// Machines that the cloud has confirmed gone, for the owners to hear.
-	returned []string
+	returned []returned
+}
+
+type returned struct {
+	name string
+	at   Time
+}
+
+// returnedFor is how long the owners are told of a machine's return.
+const returnedFor = 20 * second
+
+// returnedLately names the machines that went back a short while ago. An owner
+// that misses it finds them silent.
+func (l *leaderState) returnedLately(n *Node) []string {
+	l.returned = slices.DeleteFunc(l.returned, func(r returned) bool { return n.now-r.at > returnedFor })
+	var out []string
+	for _, r := range l.returned {
+		out = append(out, r.name)
+	}
+	return out
 }
 
 func (l *leaderState) reset() {
@@ -140,7 +159,7 @@
 		return
 	}
 	n.cloudTick()
-	if n.now < l.at || (!l.dirty && n.now < l.at+second) || n.rigs == nil {
+	if n.now < l.at || (!l.dirty && n.now < l.at+second) || n.types == nil {
 		return
 	}
 	// First hear from the owners what there is.
@@ -150,9 +169,9 @@
 	if !l.batch.ready(n) {
 		return
 	}
-	// A pass looks at every unfinished job; with thousands of them the share of
-	// a core that we have allows fewer passes.
-	l.at = n.now + 120*1e6 + Time(len(n.live))*300*1e3
+	// A pass looks at every unfinished job and every machine, if briefly; with
+	// thousands of them the share of a core that we have allows fewer passes.
+	l.at = n.now + 120*1e6 + Time(len(n.live))*300*1e3 + Time(n.machines())*100*1e3
 	l.dirty = false
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
@@ -163,6 +182,15 @@
 	w.send(&l.batch, nil)
 }
 
+// machines counts those that we know and that may still be there.
+func (n *Node) machines() int {
+	c := 0
+	for _, p := range n.parts {
+		c += len(p.hosts)
+	}
+	return c
+}
+
 // revokeOrphans takes back grants to parts that have had no owner for a while.
 func (n *Node) revokeOrphans(w *writer) {
 	for _, jx := range n.live {
@@ -193,64 +221,72 @@
 
 // plan holds the state of one planning pass.
 type plan struct {
-	n     *Node
-	w     *writer
-	slots []*slot // machines up
-	hope  []*slot // machines booting, hired or to be hired
-	used  map[string]*use
-	hires map[pool]int
-	count map[pool]int // machines of each pool, up, coming or planned
-	full  bool         // the commit takes no more
-	stops int
+	n      *Node
+	w      *writer
+	up     *slotSet // machines up
+	hope   *slotSet // machines booting, hired or to be hired
+	used   []use    // by team
+	hires  map[pool]int
+	count  map[pool]int // machines of each pool, up, coming or planned
+	misses []miss       // demands that found no free room in this pass
+	full   bool         // the commit takes no more
+	stops  int
 }
 
 // plan grants waiting tasks to parts, in the order of the queue, and works
 // out what to hire, stop and return.
 func (n *Node) plan(w *writer) {
-	p := &plan{n: n, w: w, used: map[string]*use{}, hires: map[pool]int{}}
-	for i := range n.cfg.Teams {
-		p.used[n.cfg.Teams[i].Name] = &use{}
-	}
-	for _, h := range n.hosts {
-		if s := n.leaderSlot(h); s != nil {
-			p.slots = append(p.slots, s)
+	p := &plan{n: n, w: w, up: newSlotSet(n), hope: newSlotSet(n), used: make([]use, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{}}
+	for _, x := range n.parts {
+		for _, h := range x.hosts {
+			n.work++
+			if s := n.leaderSlot(h); s != nil {
+				p.up.add(s)
+				p.count[s.pool()]++
+			}
 		}
 	}
 	for _, jx := range n.live {
 		j := n.jobs[jx]
-		sp := j.rec.Spec
-		if sp == nil {
+		if j.rec.Spec == nil || j.team < 0 {
 			continue
 		}
-		u := p.used[sp.Team]
-		if u == nil {
-			u = &use{}
-			p.used[sp.Team] = u
-		}
-		u.add(sp, float64(len(j.rec.Active)))
-		for _, a := range j.rec.Active {
-			if a.Host == "" {
-				p.charge(j, a)
-			}
-		}
+		p.used[j.team].add(j.rec.Spec, float64(len(j.rec.Active)))
 	}
-	p.hope = n.hopedFor()
+	p.chargeGrants()
+	n.hopedFor(p)
 	idle := p.idleSlots()
 	p.serveQueues(n.queues())
 	n.hireAndReturn(p, idle)
 }
 
-// charge takes room for a grant that its owner has not placed yet.
-func (p *plan) charge(j *job, a wire.Active) {
-	h := p.n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]
-	for _, s := range p.slots {
-		if s.h == h && h != nil {
-			s.take(j.rec.Spec)
-			return
+// chargeGrants takes room for grants that their owners have not placed yet.
+func (p *plan) chargeGrants() {
+	n := p.n
+	var byHost map[*host]*slot
+	for _, jx := range n.live {
+		j := n.jobs[jx]
+		if j.rec.Spec == nil || j.unplaced == 0 {
+			continue
+		}
+		if byHost == nil {
+			byHost = make(map[*host]*slot, len(p.up.all))
+			for _, s := range p.up.all {
+				byHost[s.h] = s
+			}
+		}
+		for _, a := range j.rec.Active {
+			if a.Host != "" {
+				continue
+			}
+			s := byHost[n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]]
+			if s == nil {
+				s = p.up.best(j, func(s *slot) bool { return s.part == a.Part })
+			}
+			if s != nil {
+				s.take(j.rec.Spec)
+			}
 		}
-	}
-	if s := p.n.best(j, p.slots, func(s *slot) bool { return s.part == a.Part }); s != nil {
-		s.take(j.rec.Spec)
 	}
 }
 
@@ -258,19 +294,19 @@
 // used as long as it lasts; when the owner can be reached through the state
 // service only, what it said last has to do.
 func (n *Node) leaderSlot(h *host) *slot {
-	if h.part < 0 || h.returned || h.info.Name == "" || h.info.Leaving || h.info.Sick || h.info.Lost || h.retiring {
+	v := &h.info
+	if h.returned || !v.known || v.leaving || v.sick || v.lost || v.unsure || h.retiring {
 		return nil
 	}
 	p := n.parts[h.part]
 	if p.rec == nil {
 		return nil
 	}
-	age := n.now - h.infoAt
 	if owner := n.peers[p.rec.Owner]; p.rec.Owner != n.cfg.Self && (owner == nil || n.now-owner.at > 5*second) {
-		if age > 3*n.cfg.Lease {
+		if owner != nil && n.now-owner.at > 3*n.cfg.Lease || n.now-p.changed > 3*n.cfg.Lease && h.infoTerm != p.rev {
 			return nil
 		}
-	} else if h.info.SilentS > (3*n.cfg.Report).Seconds() || age > 4*n.cfg.Report {
+	} else if v.quiet > 1 || h.infoTerm != p.rev && n.now-p.changed > 4*n.cfg.Report {
 		return nil
 	}
 	if n.leader.cloud.retiring[h.name] {
@@ -281,8 +317,8 @@
 
 func (p *plan) idleSlots() map[*slot]bool {
 	idle := map[*slot]bool{}
-	for _, s := range p.slots {
-		if s.cards == s.rigRef.Cards && s.cores == s.rigRef.Cores && len(s.h.jobs) == 0 {
+	for _, s := range p.up.all {
+		if len(s.h.on) == 0 && s.untouched() {
 			idle[s] = true
 		}
 	}
@@ -320,7 +356,7 @@
 		}
 	}
 	rec.Next++
-	p.used[rec.Spec.Team].add(rec.Spec, float64(len(tasks)))
+	p.used[j.team].add(rec.Spec, float64(len(tasks)))
 	if len(n.leader.hint) > 4096 {
 		clear(n.leader.hint)
 	}
@@ -330,14 +366,11 @@
 
 // quota tells whether a team may use room for k more tasks.
 func (p *plan) quota(j *job, k int) bool {
-	sp := j.rec.Spec
-	u := p.used[sp.Team]
-	for i := range p.n.cfg.Teams {
-		if t := &p.n.cfg.Teams[i]; t.Name == sp.Team {
-			return !over(u.cores+sp.Cores*float64(k), t.CoresMax) && !over(u.cards+sp.Cards*float64(k), t.CardsMax)
-		}
+	if j.team < 0 {
+		return false
 	}
-	return false
+	sp, u, t := j.rec.Spec, p.used[j.team], &p.n.cfg.Teams[j.team]
+	return !over(u.cores+sp.Cores*float64(k), t.CoresMax) && !over(u.cards+sp.Cards*float64(k), t.CardsMax)
 }
 
 // hireName is unique for ever: no two leaders share a term.
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -12,51 +12,45 @@
 type part struct {
 	ix   int
 	name string
-	zone string
+	zone int
 	home string // the controller meant to own it; "" in a zone without one
 	rec  *wire.Part
 	rev  uint64 // of the claim: the term and the workers' token
 
-	since      Time // when our copy last saw it change hands or go
-	proven     bool // a check has covered this term
-	base       Time // our validity counts from here
-	validSince Time // since when we could answer without a break
-	bound      Time // no earlier owner can have answered a report sent after this
+	hosts      []*host // machines that may still be there
+	changed    Time    // when our copy last saw it change hands
+	askedAt    Time    // when we last asked ourselves whether to claim it
+	since      Time    // when our copy last saw it change hands or go
+	proven     bool    // a check has covered this term
+	base       Time    // our validity counts from here
+	validSince Time    // since when we could answer without a break
+	bound      Time    // no earlier owner can have answered a report sent after this
 }
 
 // makeParts splits the machines of each zone among its controllers.
-func makeParts(cfg Config) []*part {
-	var ps []*part
-	zones := slices.Clone(cfg.Zones)
-	sort.Strings(zones)
-	members := slices.Clone(cfg.Members)
+func (n *Node) makeParts() {
+	members := slices.Clone(n.cfg.Members)
 	sort.Slice(members, func(i, k int) bool { return members[i].Label < members[k].Label })
-	for _, z := range slices.Compact(zones) {
-		before := len(ps)
+	for z := range n.zones.Len() {
+		zone, before := n.zones.Name(z), len(n.parts)
+		add := func(name, home string) {
+			n.parts = append(n.parts, &part{ix: len(n.parts), name: zone + "/" + name, zone: z, home: home})
+		}
 		for _, m := range members {
-			if m.Zone == z {
-				ps = append(ps, &part{ix: len(ps), name: z + "/" + m.Label, zone: z, home: m.Label})
+			if m.Zone == zone {
+				add(m.Label, m.Label)
 			}
 		}
-		if len(ps) == before {
-			ps = append(ps, &part{ix: len(ps), name: z + "/-", zone: z})
+		if len(n.parts) == before {
+			add("-", "")
 		}
+		n.zoneParts = append(n.zoneParts, [2]int{before, len(n.parts) - before})
 	}
-	return ps
 }
 
 // partOf hashes a machine to a part of its zone, or gives -1.
-func (n *Node) partOf(zone, name string) int {
-	first, count := -1, 0
-	for _, p := range n.parts {
-		if p.zone == zone {
-			if first < 0 {
-				first = p.ix
-			}
-			count++
-		}
-	}
-	if first < 0 {
+func (n *Node) partOf(zone int, name string) int {
+	if zone < 0 || zone >= len(n.zoneParts) {
 		return -1
 	}
 	f := fnv.New64a()
@@ -69,7 +63,7 @@
 	v ^= v >> 33
 	v *= 0xc4ceb9fe1a85ec53
 	v ^= v >> 33
-	return first + int(v%uint64(count))
+	return n.zoneParts[zone][0] + int(v%uint64(n.zoneParts[zone][1]))
 }
 
 func (n *Node) partNamed(key string) *part {
@@ -86,15 +80,11 @@
 		return
 	}
 	was := p.rec
-	p.rec, p.rev, p.since = rec, rev, n.now
+	p.rec, p.rev, p.since, p.changed = rec, rev, n.now, n.now
 	p.proven, p.base = false, 0
 	// What machines did under the last owner says nothing about this one.
 	// Kept, it made two peers take the part from each other in turns.
-	for _, h := range n.hosts {
-		if h.part == p.ix {
-			h.redirectAt, h.bounceAt = 0, 0
-		}
-	}
+	p.forgetBounces()
 	if rec != nil && rec.Owner == n.cfg.Self && rec.Life == n.cfg.Life {
 		// An owner whose key went with its lease had stopped before, and an
 		// earlier life of ours is dead. One that we took over by a new claim
@@ -110,6 +100,12 @@
 	}
 }
 
+func (p *part) forgetBounces() {
+	for _, h := range p.hosts {
+		h.redirectAt, h.bounceAt = 0, 0
+	}
+}
+
 // holds tells whether our copy says that the part is ours.
 func (n *Node) holds(p *part) bool {
 	return p.rec != nil && p.rec.Owner == n.cfg.Self && p.rec.Life == n.cfg.Life
@@ -127,9 +123,10 @@
 		return
 	}
 	for _, p := range n.parts {
-		if n.holds(p) || n.now < p.claimAt() {
+		if n.holds(p) || n.now < p.claimAt() || n.now < p.askedAt+200*1e6 {
 			continue
 		}
+		p.askedAt = n.now
 		if !n.mayClaim(p) {
 			continue
 		}
@@ -158,7 +155,7 @@
 		switch {
 		case p.home == n.cfg.Self:
 			return true
-		case p.zone == n.cfg.Zone:
+		case n.zones.Name(p.zone) == n.cfg.Zone:
 			return waited > 2*second
 		}
 		return waited > 4*second+Time(n.rank())*second
@@ -166,29 +163,35 @@
 	if p.rec.Owner == n.cfg.Self {
 		return true // an earlier life of ours
 	}
-	// Its workers come here although we send them to their owner.
+	// Its workers come here although we send them to their owner. A single
+	// machine among many may be deaf or cut off by itself, which says nothing
+	// about the owner.
 	var first Time
 	bounced, known := 0, 0
-	for _, h := range n.hosts {
-		if h.part == p.ix && !h.returned && h.info.Name != "" && n.now-h.infoAt < n.cfg.Lease {
+	for _, h := range p.hosts {
+		if h.returned || h.info.lost {
+			continue
+		}
+		if h.info.known && h.info.quiet < 2 {
 			known++
 		}
-		if h.part == p.ix && h.bounceAt > 0 && n.now-h.bounceAt < 12*second {
+		if h.bounceAt > 0 && n.now-h.bounceAt < 12*second {
 			bounced++
 			if first == 0 || h.bounceFrom < first {
 				first = h.bounceFrom
 			}
 		}
 	}
+	need := max(1, min(known, max(2, min(known/8, 12))))
 	owner := n.peers[p.rec.Owner]
 	deaf := owner == nil || n.now-owner.at > 5*second
 	refused := owner != nil && !deaf && !owner.msg.StoreOK
 	wait := 0 * second
-	if p.zone != n.cfg.Zone {
+	if n.zones.Name(p.zone) != n.cfg.Zone {
 		wait = 4 * second
 	}
 	switch {
-	case bounced >= max(1, min(2, known)) && n.now-first > 2*second+wait && waited > 10*second:
+	case bounced >= need && n.now-first > 2*second+wait && waited > 10*second:
 		n.log(1, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
 		return true
 	case deaf && bounced >= 1 && waited > 5*second+wait:
@@ -226,14 +229,20 @@
 // report answers a worker.
 func (n *Node) report(in Reported) {
 	r := in.Report
-	pi := n.partOf(r.Zone, r.Host)
+	pi := n.partOf(n.zones.Find(r.Zone), r.Host)
 	if pi < 0 || r.Host == "" {
 		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "unknown zone"}})
 		return
 	}
 	p := n.parts[pi]
 	h := n.hostOf(r.Host)
-	h.part, h.rig, h.zone, h.spot = pi, r.Rig, r.Zone, r.Spot
+	if h.returned {
+		// The cloud has confirmed it gone: a late copy.
+		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "returned"}})
+		return
+	}
+	n.setPart(h, pi)
+	h.rig, h.spot = n.rigs.Of(r.Rig), r.Spot
 	if !n.loaded || !n.valid(p) || r.Token > p.rev {
 		n.redirect(in.Req, p, h)
 		return
@@ -244,14 +253,25 @@
 		return
 	}
 	if h.term != p.rev {
-		h.term, h.answered, h.reports = p.rev, 0, 0
-		n.gossip(true)
-		n.leader.dirty = true
+		h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
 		h.started = map[taskKey]uint64{}
+		n.ownInfoAt = 0
 	}
 	if h.session != r.Session {
+		// Its lease ran out although we answered it a short while ago: our
+		// answers don't reach it.
+		if h.reports > 1 && h.answered > 0 && n.now-h.answered < n.cfg.Lease*3/4 {
+			h.ignored = deafAfter
+		}
 		clear(h.started)
 	}
+	if h.token != (r.Token == p.rev) {
+		h.token, h.ignored = r.Token == p.rev, 0
+		n.ownInfoAt = 0
+	} else if h.reports > 0 && h.answered > 0 && !h.token {
+		h.ignored++
+	}
+	consecutive := h.session == r.Session && r.Seq == h.seq+1
 	h.session, h.seq, h.heard = r.Session, r.Seq, n.now
 	h.bounceAt, h.redirectAt = 0, 0
 	h.reports++
@@ -261,7 +281,17 @@
 		h.leavingAt = 0
 	}
 	n.ownerAt = 0
+	was := h.ignored
 	orders := n.reconcile(p, h, r)
+	if consecutive && h.ignored == was && len(n.cfg.Members) > 1 && h.token {
+		h.ignored = 0 // it has stayed with us, so it heard our last answer
+	}
+	if deaf := h.ignored >= deafAfter && !n.manyDeaf(p); deaf != h.deaf || h.ignored != was {
+		if deaf && !h.deaf {
+			n.log(1, "machine does not hear us", "host", h.name)
+		}
+		h.deaf, n.ownInfoAt = deaf, 0
+	}
 	if n.worthWaiting(p, h, r, orders) {
 		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + answerPause})
 		return
@@ -269,6 +299,25 @@
 	n.answerWorker(in.Req, p, h, orders)
 }
 
+// deafAfter is how many answers in a row may be without effect before a
+// machine counts as deaf. One or two are lost now and then.
+const deafAfter = 3
+
+// manyDeaf tells whether so many machines seem deaf that the fault is rather
+// ours: answers that come too late are dropped as well.
+func (n *Node) manyDeaf(p *part) bool {
+	all, deaf := 0, 0
+	for _, h := range p.hosts {
+		if h.term == p.rev && !h.returned {
+			all++
+			if h.ignored >= deafAfter-1 {
+				deaf++
+			}
+		}
+	}
+	return deaf > max(1, all/4)
+}
+
 func (n *Node) answerWorker(req uint64, p *part, h *host, orders []wire.Order) {
 	h.answered = n.now
 	n.emit(Reply{Req: req, Status: 200, Body: wire.ReportReply{Token: p.rev, Orders: orders}})
@@ -296,8 +345,8 @@
 			return false // has something to do at once
 		}
 	}
-	if len(h.jobs) == 0 && len(r.Tasks) == 0 {
-		return h.reports <= 2
+	if len(h.on) == 0 && len(r.Tasks) == 0 {
+		return h.token && h.reports <= 3 && n.usable(h)
 	}
 	return n.pendingResults(h)
 }
@@ -305,13 +354,9 @@
 // pendingResults tells whether the end of a task on the machine still has to
 // be written to its record.
 func (n *Node) pendingResults(h *host) bool {
-	for _, jx := range h.jobs {
-		for _, a := range n.jobs[jx].rec.Active {
-			if a.Host == h.name {
-				if _, ended := n.results[taskKey{jx, a.Task, a.Attempt}]; ended {
-					return true
-				}
-			}
+	for i := range h.on {
+		if _, ended := n.results[h.on[i].taskKey]; ended {
+			return true
 		}
 	}
 	return false
@@ -319,6 +364,10 @@
 
 // answerHeld answers reports that have waited for their records.
 func (n *Node) answerHeld() {
+	if len(n.held) == 0 || n.now < n.heldAt {
+		return
+	}
+	n.heldAt = n.now + 40*1e6
 	n.held = slices.DeleteFunc(n.held, func(q heldReport) bool {
 		p, h := q.part, q.host
 		if p.rev != q.term || !n.valid(p) || h.session != q.Report.Session || h.seq != q.Report.Seq {
@@ -335,11 +384,9 @@
 
 // startsWaiting tells whether a placed task has not reached the machine.
 func (n *Node) startsWaiting(h *host) bool {
-	for _, jx := range h.jobs {
-		for _, a := range n.jobs[jx].rec.Active {
-			if _, there := h.tasks[taskKey{jx, a.Task, a.Attempt}]; a.Host == h.name && !there {
-				return true
-			}
+	for i := range h.on {
+		if _, there := h.tasks[h.on[i].taskKey]; !there {
+			return true
 		}
 	}
 	return false
@@ -351,7 +398,7 @@
 		// it hears nothing from it: it can't reach its owner.
 		back := n.now - h.redirectAt
 		bounced := h.redirectAt > 0 && back > second*7/10 && back < 15*second
-		unheard := n.toldUnheard(p.rec.Owner, h.name)
+		unheard := n.toldUnheard(p, h)
 		if n.storeOK && (bounced || unheard) {
 			if h.bounceAt == 0 || n.now-h.bounceAt > 12*second {
 				h.bounceFrom = n.now
@@ -359,6 +406,10 @@
 			h.bounceAt = n.now
 		}
 		h.redirectAt = n.now
+		if !h.straying {
+			h.straying = true
+			n.strayed = append(n.strayed, h.ix)
+		}
 		n.emit(Reply{Req: req, Status: 421, Body: wire.Redirect{Owner: p.rec.Owner}})
 		return
 	}
@@ -368,17 +419,10 @@
 // toldUnheard tells whether an owner that has been up for a while says that it
 // hears nothing of a machine. One that has just come back does not know of it
 // yet, which proves nothing.
-func (n *Node) toldUnheard(owner, name string) bool {
-	p := n.peers[owner]
-	if p == nil || n.now-p.at > 3*second || p.msg.UpS < 4*n.cfg.Report.Seconds() {
-		return false
-	}
-	for i := range p.msg.Hosts {
-		if h := &p.msg.Hosts[i]; h.Name == name {
-			return h.SilentS > 2*n.cfg.Report.Seconds()
-		}
-	}
-	return false
+func (n *Node) toldUnheard(p *part, h *host) bool {
+	owner := n.peers[p.rec.Owner]
+	return owner != nil && n.now-owner.at < 3*second && owner.msg.UpS >= 4*n.cfg.Report.Seconds() &&
+		h.infoTerm == p.rev && h.info.quiet > 0
 }
 
 // active finds a placed task in our copy of the records.
@@ -442,39 +486,47 @@
 			n.log(0, "task state", "job", j.ref, "class", j.rec.Spec.Class, "task", task, "attempt", t.Attempt, "host", h.name, "state", t.State)
 		}
 		if t.State != wire.TaskFetching {
-			h.images[j.image] = true
+			h.images.add(j.image)
 		}
 		switch grace, kill := n.killGrace(h, j, a, t); {
 		case kill:
 			orders = append(orders, wire.Order{Op: wire.OrderKill, Task: t.Task, Attempt: t.Attempt, GraceS: grace})
 		}
 	}
-	for _, jx := range h.jobs {
-		j := n.jobs[jx]
-		for i := range j.rec.Active {
-			a := &j.rec.Active[i]
-			k := taskKey{jx, a.Task, a.Attempt}
-			if a.Host != h.name || reported[k] {
-				continue
-			}
-			if _, over := n.results[k]; over {
-				continue
-			}
-			gone := fresh && r.Seq > h.started[k]
-			switch {
-			case r.Session > a.Session:
+	missed := false
+	for i := range h.on {
+		x := &h.on[i]
+		k, j := x.taskKey, n.jobs[x.job]
+		if reported[k] {
+			continue
+		}
+		if _, over := n.results[k]; over {
+			continue
+		}
+		last, sent := h.started[k]
+		gone := fresh && r.Seq > last
+		missed = missed || sent && gone
+		switch {
+		case r.Session > x.session:
+			n.results[k] = result{h.name, causeLost}
+		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
+			if gone {
 				n.results[k] = result{h.name, causeLost}
-			case j.rec.State != wire.Live || a.Stop != wire.Keep || h.leavingAt > 0:
-				if gone {
-					n.results[k] = result{h.name, causeLost}
-				}
-			case n.holdBack(j, a):
-			default:
-				orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, a.Task), Attempt: a.Attempt})
-				h.started[k] = r.Seq
 			}
+		case gone && sent && h.ignored >= deafAfter-1:
+			// It goes on reporting and does not do what it is told. The
+			// report is newer than the answer that ordered the start and
+			// lacks it; from here on it is not ordered again.
+			n.results[k] = result{h.name, causeLost}
+		case n.holdBack(j, n.active(k, h.name)):
+		default:
+			orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, k.task), Attempt: k.attempt})
+			h.started[k] = r.Seq
 		}
 	}
+	if missed {
+		h.ignored++
+	}
 	return orders
 }
 
@@ -517,11 +569,11 @@
 	// Images come at two thirds of the nominal rate at worst. A gang that is
 	// surely complete in time had better start with the last of them, not
 	// with the next report of a machine that was held back.
-	if r := n.rigOf(n.hostOf(a.Host).rig); r != nil && r.FetchGBs > 0 &&
+	if r := n.flavor(n.hostOf(a.Host).rig); r != nil && r.FetchGBs > 0 &&
 		1.5*sp.ImageGB/r.FetchGBs < (n.cfg.GangWait-2*n.cfg.Report).Seconds() {
 		return false
 	}
-	if !n.hostOf(a.Host).images[j.image] {
+	if !n.hostOf(a.Host).images.has(j.image) {
 		return false
 	}
 	for i := range j.rec.Active {
@@ -530,7 +582,7 @@
 			continue
 		}
 		hb := n.hostOf(b.Host)
-		if hb.images[j.image] || n.parts[b.Part].rec == nil || !n.valid(n.parts[b.Part]) {
+		if hb.images.has(j.image) || n.parts[b.Part].rec == nil || !n.valid(n.parts[b.Part]) {
 			continue
 		}
 		return true
@@ -549,7 +601,7 @@
 	switch t.Cause {
 	case wire.CauseDone:
 		h.errJobs, h.sick = nil, false
-		h.images[j.image] = true
+		h.images.add(j.image)
 	case wire.CauseError:
 		if h.errJobs == nil {
 			h.errJobs = map[int]bool{}
@@ -562,7 +614,7 @@
 		if len(h.errJobs) >= 2 || countDone(j.rec.DoneSet) > 0 {
 			h.sick = true
 		}
-		n.gossip(true) // before more is granted to it
+		n.ownInfoAt = 0 // before more is granted to it
 	case wire.CauseFull:
 		h.fullUntil = n.now + 2*n.cfg.Report
 	}
@@ -572,7 +624,7 @@
 // usable tells whether an owner may place tasks on a machine of its own.
 func (n *Node) usable(h *host) bool {
 	p := n.parts[h.part]
-	return h.term == p.rev && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
+	return h.term == p.rev && h.token && h.ignored == 0 && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
 		!h.sick && !h.retiring && !h.returned && n.now >= h.fullUntil
 }
 
@@ -607,25 +659,41 @@
 // silentHosts gives up the tasks of machines whose lease must have run out.
 func (n *Node) silentHosts(p *part) {
 	limit := n.cfg.Lease + n.cfg.Lease/1000 + second
-	for _, h := range n.hosts {
-		if h.part != p.ix || len(h.jobs) == 0 {
+	for _, h := range p.hosts {
+		if len(h.on) == 0 {
 			continue
 		}
 		last := p.bound
 		if h.term == p.rev {
 			last = max(last, h.answered)
 		}
-		if h.returned || n.now-last > limit {
-			for _, jx := range h.jobs {
-				for _, a := range n.jobs[jx].rec.Active {
-					if a.Host == h.name && a.Part == p.ix {
-						k := taskKey{jx, a.Task, a.Attempt}
-						if _, known := n.results[k]; !known {
-							n.results[k] = result{h.name, causeLost}
-							n.log(1, "task lost with its machine", "job", n.jobs[jx].ref, "task", a.Task, "host", h.name)
-						}
-					}
-				}
+		if !h.returned && n.now-last <= limit {
+			continue
+		}
+		for i := range h.on {
+			k := h.on[i].taskKey
+			if _, known := n.results[k]; !known && h.on[i].part == p.ix {
+				n.results[k] = result{h.name, causeLost}
+				n.log(1, "task lost with its machine", "job", n.jobs[k.job].ref, "task", k.task, "host", h.name)
+			}
+		}
+	}
+}
+
+// forgetHosts lets go of machines that are gone, so that nothing is spent on
+// what has been.
+func (n *Node) forgetHosts() {
+	if n.now < n.tidyAt {
+		return
+	}
+	n.tidyAt = n.now + 5*second
+	for _, p := range n.parts {
+		for i := len(p.hosts) - 1; i >= 0; i-- {
+			h := p.hosts[i]
+			silent := n.valid(p) && h.term == p.rev && n.now-h.heard > 3*n.cfg.Lease
+			if len(h.on) == 0 && (h.returned || silent || h.info.lost && !n.holds(p) && n.now-p.changed > 3*n.cfg.Lease) {
+				n.setPart(h, -1)
+				h.info, h.tasks, h.started, h.errJobs, h.images = view{}, nil, nil, nil, nil
 			}
 		}
 	}
@@ -802,12 +870,18 @@
 }
 
 // ownSlots lists the room on the machines that we own, less what is held.
-func (n *Node) ownSlots() []*slot {
-	var slots []*slot
-	for _, h := range n.hosts {
-		if h.part >= 0 && n.valid(n.parts[h.part]) && n.usable(h) {
-			if s := n.slotOf(h); s != nil {
-				slots = append(slots, s)
+func (n *Node) ownSlots() *slotSet {
+	slots := newSlotSet(n)
+	for _, p := range n.parts {
+		if !n.valid(p) {
+			continue
+		}
+		for _, h := range p.hosts {
+			n.work++
+			if n.usable(h) {
+				if s := n.slotOf(h); s != nil {
+					slots.add(s)
+				}
 			}
 		}
 	}
@@ -817,10 +891,10 @@
 
 // placeGranted chooses machines for the tasks granted to our parts.
 func (n *Node) placeGranted(w *writer) {
-	var slots []*slot
+	var slots *slotSet
 	for _, jx := range n.live {
 		j := n.jobs[jx]
-		if !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
+		if j.unplaced == 0 || !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
 			return a.Host == "" && n.valid(n.parts[a.Part])
 		}) {
 			continue
@@ -836,7 +910,7 @@
 // gives it back.
 const grantPatience = 2500 * 1e6
 
-func (n *Node) placeJob(w *writer, j *job, slots []*slot) {
+func (n *Node) placeJob(w *writer, j *job, slots *slotSet) {
 	sp := j.rec.Spec
 	if j.rec.State != wire.Live {
 		if rec := w.job(j); rec != nil {
@@ -853,7 +927,7 @@
 		if a.Host != "" || !n.valid(n.parts[a.Part]) {
 			continue
 		}
-		s := n.best(j, slots, func(s *slot) bool { return s.part == a.Part })
+		s := slots.best(j, func(s *slot) bool { return s.part == a.Part })
 		k := taskKey{j.ix, a.Task, a.Attempt}
 		if s == nil && !n.outOfPatience(k) {
 			continue
--- a/internal/core/part_test.go
+++ b/internal/core/part_test.go
@@ -12,18 +12,18 @@
 	for start := 0; start < 200; start += 20 {
 		count := map[int]int{}
 		for i := range 20 {
-			count[n.partOf("a", fmt.Sprintf("vm-%06d", start+i))]++
+			count[n.partOf(n.zones.Find("a"), fmt.Sprintf("vm-%06d", start+i))]++
 		}
 		if len(count) != 2 {
 			t.Errorf("machines %d on: parts %v", start, count)
 		}
 		for p, c := range count {
-			if c < 4 || n.parts[p].zone != "a" {
-				t.Errorf("machines %d on: part %d of zone %s has %d of 20", start, p, n.parts[p].zone, c)
+			if c < 4 || n.parts[p].zone != n.zones.Find("a") {
+				t.Errorf("machines %d on: part %d of zone %d has %d of 20", start, p, n.parts[p].zone, c)
 			}
 		}
 	}
-	if p := n.partOf("elsewhere", "vm-000001"); p != -1 {
+	if p := n.partOf(n.zones.Find("elsewhere"), "vm-000001"); p != -1 {
 		t.Errorf("a machine in an unknown zone went to part %d", p)
 	}
 }
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -1,8 +1,8 @@
 package core
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 
 	"micaport/internal/wire"
 )
@@ -11,51 +11,41 @@
 type want struct {
 	j      *job
 	tasks  []int
-	zones  map[string]int // its tasks by zone, as planned so far
-	within bool           // inside the team's guarantee, with the jobs before it
+	zones  []int // its tasks by zone, as planned so far
+	within bool  // inside the team's guarantee, with the jobs before it
+	// What was found out for an earlier task of the job holds for the rest.
+	noRoom, noSoon, noHope bool
 }
 
 // teamQueue is the queue of one team.
 type teamQueue struct {
-	team  *Team
+	team  int
 	wants []*want
 }
 
 // queues builds a queue for each team, most pressing first.
 func (n *Node) queues() []*teamQueue {
-	byTeam := map[string]*teamQueue{}
-	var out []*teamQueue
-	for i := range n.cfg.Teams {
-		q := &teamQueue{team: &n.cfg.Teams[i]}
-		byTeam[q.team.Name] = q
-		out = append(out, q)
+	out := make([]*teamQueue, len(n.cfg.Teams))
+	for i := range out {
+		out[i] = &teamQueue{team: i}
 	}
 	order := slices.Clone(n.live)
-	sort.SliceStable(order, func(a, b int) bool {
-		x, y := n.jobs[order[a]], n.jobs[order[b]]
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := n.jobs[a], n.jobs[b]
 		if x.rec.At != y.rec.At {
-			return x.rec.At < y.rec.At
+			return cmp.Compare(x.rec.At, y.rec.At)
 		}
-		return x.ref < y.ref
+		return cmp.Compare(x.ref, y.ref)
 	})
-	sum := map[string]*use{}
+	sum := make([]use, n.teams.Len())
 	for _, jx := range order {
 		j := n.jobs[jx]
-		if j.rec.State != wire.Live || j.rec.Spec == nil {
+		if j.rec.State != wire.Live || j.rec.Spec == nil || j.team < 0 {
 			continue
 		}
 		sp := j.rec.Spec
-		q := byTeam[sp.Team]
-		if q == nil {
-			continue
-		}
-		u := sum[sp.Team]
-		if u == nil {
-			u = &use{}
-			sum[sp.Team] = u
-		}
+		q, u, t := out[j.team], &sum[j.team], &n.cfg.Teams[j.team]
 		u.add(sp, float64(j.rec.Frames-countDone(j.rec.DoneSet)))
-		t := q.team
 		j.within = (t.Cards > 0 || t.Cores > 0) && !over(u.cards, t.Cards) && !over(u.cores, t.Cores)
 		if n.now < j.notBefore {
 			continue
@@ -65,9 +55,9 @@
 			if len(j.rec.Active) > 0 {
 				continue // the old attempt is not gone yet
 			}
-			w.tasks = pendingTasks(j.rec, j.rec.Frames)
+			w.tasks = n.waitingTasks(j, j.rec.Frames)
 		} else {
-			w.tasks = pendingTasks(j.rec, n.activeLimit()-len(j.rec.Active))
+			w.tasks = n.waitingTasks(j, n.activeLimit()-len(j.rec.Active))
 		}
 		if len(w.tasks) > 0 {
 			q.wants = append(q.wants, w)
@@ -76,7 +66,7 @@
 		}
 	}
 	for _, q := range out {
-		sort.SliceStable(q.wants, func(a, b int) bool { return q.wants[a].rank() > q.wants[b].rank() })
+		slices.SortStableFunc(q.wants, func(a, b *want) int { return b.rank() - a.rank() })
 	}
 	return out
 }
@@ -87,8 +77,8 @@
 func (w *want) rank() int { return 2*w.j.prio + b2i(w.within) }
 
 // share is how much of its guarantee a team uses; less is served first.
-func (p *plan) share(t *Team) float64 {
-	u := p.used[t.Name]
+func (p *plan) share(team int) float64 {
+	u, t := p.used[team], &p.n.cfg.Teams[team]
 	switch {
 	case t.Cards > 0:
 		return u.cards / t.Cards
@@ -98,9 +88,40 @@
 	return 1 + u.cards + u.cores/8
 }
 
+// gangPatience is how long a gang waits in its turn. After that it gathers
+// room before anything else, one such gang at a time and the longest waiting
+// first: smaller and more urgent work that arrives all the time would else
+// take every machine that becomes free, and two gangs would each keep room
+// that the other needs.
+const gangPatience = 75 * second
+
+// serveStarved lets the gang that has waited longest beyond its patience
+// gather room.
+func (p *plan) serveStarved(qs []*teamQueue) {
+	var first *want
+	for _, q := range qs {
+		for _, w := range q.wants {
+			j := w.j
+			if j.rec.Spec.Shape != wire.ShapeGang || j.blockedSince == 0 || p.n.now-j.blockedSince < gangPatience {
+				continue
+			}
+			if first == nil || j.blockedSince < first.j.blockedSince || j.blockedSince == first.j.blockedSince && j.ref < first.j.ref {
+				first = w
+			}
+		}
+	}
+	if first != nil {
+		p.serveGang(first)
+		for _, q := range qs {
+			q.wants = slices.DeleteFunc(q.wants, func(w *want) bool { return w == first })
+		}
+	}
+}
+
 // serveQueues takes the teams in turn: the most pressing head first, and
 // among equals the team that uses the least of its share.
 func (p *plan) serveQueues(qs []*teamQueue) {
+	p.serveStarved(qs)
 	for !p.full {
 		var pick *teamQueue
 		for _, q := range qs {
@@ -136,6 +157,33 @@
 	return j.rec
 }
 
+// miss is a demand for which there was no free room in this pass.
+type miss struct {
+	cores, cards, mem float64
+	zone              int
+	any, spot, partly bool // partly: it kept off untouched ordinary machines
+}
+
+// missed tells whether a demand that asked for no more, at no fewer places,
+// has found no room already: then there is no need to look again.
+func (p *plan) missed(j *job, partly bool) bool {
+	sp := j.rec.Spec
+	for i := range p.misses {
+		m := &p.misses[i]
+		if m.any && (m.zone < 0 || m.zone == j.zone) && (m.spot || !j.spot) && (!m.partly || partly) &&
+			m.cores <= sp.Cores+eps && m.cards <= sp.Cards+eps && m.mem <= sp.MemoryGB+eps {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) miss(j *job, partly bool) {
+	if sp := j.rec.Spec; len(j.rec.Avoid) == 0 && len(p.misses) < 16 {
+		p.misses = append(p.misses, miss{sp.Cores, sp.Cards, sp.MemoryGB, j.zone, j.any, j.spot, partly})
+	}
+}
+
 // serveTask grants the next task of an array or daemon, and tells whether to
 // go on with the job.
 func (p *plan) serveTask(w *want) bool {
@@ -171,28 +219,42 @@
 		}
 		return true
 	}
-	if s := p.n.best(j, p.slots, ok); s != nil {
-		if !p.grant(j, w.tasks[:1], []*slot{s}) {
-			return false
+	plain := !sp.Spread && !sp.SameZone
+	if !w.noRoom && !p.missed(j, reluctant) {
+		if s := p.up.best(j, ok); s != nil {
+			if !p.grant(j, w.tasks[:1], []*slot{s}) {
+				return false
+			}
+			s.fetching(j)
+			took(s)
+			j.blockedSince = 0
+			return true
+		}
+		if plain {
+			p.miss(j, reluctant)
 		}
-		s.fetching(p.n, j)
-		took(s)
-		j.blockedSince = 0
-		return true
 	}
+	w.noRoom = true
 	p.blocked(j)
 	// Room on its way counts before machines still to come.
-	for _, s := range p.slots {
-		if s.suits(j) && s.fitsSoon(sp) && ok(s) {
+	if !w.noSoon {
+		for _, s := range p.up.soon {
+			if s.suits(j) && s.fitsSoon(sp) && ok(s) {
+				took(s)
+				return true
+			}
+		}
+		if s := p.preempt(w, ok); s != nil {
 			took(s)
 			return true
 		}
+		w.noSoon = plain
 	}
-	if s := p.preempt(w, ok); s != nil {
-		took(s)
-		return true
+	var s *slot
+	if !w.noHope {
+		s = p.hope.best(j, ok)
+		w.noHope = s == nil && plain
 	}
-	s := p.n.best(j, p.hope, ok)
 	if s == nil {
 		s = p.hireFor(w, ok)
 	}
@@ -201,7 +263,7 @@
 	}
 	// Simulated only: later passes grant it for real. Count its use so that
 	// no more is hired than the team may use.
-	p.used[sp.Team].add(sp, 1)
+	p.used[j.team].add(sp, 1)
 	took(s)
 	return true
 }
@@ -214,13 +276,13 @@
 	if !sp.Spot || j.prio >= 2 || j.blockedSince > 0 && p.n.now-j.blockedSince > patienceForSpot {
 		return false
 	}
-	for _, s := range p.hope {
-		if s.spot && s.suits(j) && s.fits(sp) {
+	for _, c := range p.hope.order {
+		if c.spot && float64(c.cards) >= sp.Cards && len(*p.hope.open[c]) > 0 && j.allows(c.rig, c.zone, true) {
 			return true
 		}
 	}
-	for _, x := range p.pools(sp) {
-		if x.spot && p.open(x) {
+	for _, x := range p.pools(j) {
+		if x.spot && p.open(x.pool) {
 			return true
 		}
 	}
@@ -240,12 +302,18 @@
 func (p *plan) serveGang(w *want) {
 	j, sp := w.j, w.j.rec.Spec
 	if !p.quota(j, len(w.tasks)) {
+		// Its team's smaller jobs would take what becomes free of the limit
+		// for ever: after its patience the limit is kept for it.
+		p.blocked(j)
+		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience/2 {
+			p.used[j.team].add(sp, float64(len(w.tasks)))
+		}
 		return
 	}
-	if chosen := p.gangSlots(w, p.slots); chosen != nil {
+	if chosen := p.gangSlots(w); chosen != nil {
 		if p.grant(j, w.tasks, chosen) {
 			for _, s := range chosen {
-				s.fetching(p.n, j)
+				s.fetching(j)
 				s.take(sp)
 			}
 		}
@@ -254,13 +322,14 @@
 	}
 	p.blocked(j)
 	if len(w.tasks) == 1 {
-		for _, s := range p.slots {
+		for _, s := range p.up.soon {
 			if s.suits(j) && s.fitsSoon(sp) {
 				s.take(sp)
 				return
 			}
 		}
-		if p.preempt(w, func(*slot) bool { return true }) != nil {
+		if s := p.preempt(w, func(*slot) bool { return true }); s != nil {
+			s.take(sp)
 			return
 		}
 	}
@@ -269,38 +338,60 @@
 
 // gangSlots chooses machines for a gang: from one part if any has the room,
 // else from one zone, else from anywhere unless the zone has to be one.
-func (p *plan) gangSlots(w *want, from []*slot) []*slot {
+func (p *plan) gangSlots(w *want) []*slot {
 	var best []*slot
 	bestScore := 0.0
-	try := func(ok func(*slot) bool, penalty float64) {
-		chosen, score := p.pick(w, from, ok)
+	try := func(in func(part, zone int) bool, penalty float64) {
+		if p.up.roomFor(w.j, in) < len(w.tasks) {
+			return
+		}
+		chosen, score := p.pick(w, func(s *slot) bool { return in(s.part, s.zone) })
 		if chosen != nil && (best == nil || score+penalty < bestScore) {
 			best, bestScore = chosen, score+penalty
 		}
 	}
-	for _, part := range p.n.parts {
-		try(func(s *slot) bool { return s.part == part.ix }, 0)
+	for _, x := range p.n.parts {
+		try(func(part, _ int) bool { return part == x.ix }, 0)
 	}
 	if best != nil && len(w.tasks) == 1 {
 		return best
 	}
-	for _, z := range p.n.cfg.Zones {
-		try(func(s *slot) bool { return s.zone == z && s.part >= 0 }, 10)
+	for z := range p.n.zones.Len() {
+		try(func(part, zone int) bool { return zone == z && part >= 0 }, 10)
 	}
 	if !w.j.rec.Spec.SameZone {
-		try(func(s *slot) bool { return s.part >= 0 }, 20)
+		try(func(part, _ int) bool { return part >= 0 }, 20)
 	}
 	return best
 }
 
+// roomFor bounds how many tasks of a job find room, from above.
+func (x *slotSet) roomFor(j *job, in func(part, zone int) bool) int {
+	sp, sum := j.rec.Spec, 0
+	for _, c := range x.order {
+		if !in(c.part, c.zone) || !j.allows(c.rig, c.zone, c.spot) {
+			continue
+		}
+		each := 1 << 10
+		if sp.Cards >= 1 {
+			each = (c.cards + 1) / int(sp.Cards)
+			if float64(c.cards)+1 < sp.Cards+eps {
+				each = c.cards / int(sp.Cards)
+			}
+		}
+		sum += each * len(*x.open[c])
+	}
+	return sum
+}
+
 // pick chooses greedily and undoes its taking.
-func (p *plan) pick(w *want, from []*slot, ok func(*slot) bool) ([]*slot, float64) {
+func (p *plan) pick(w *want, ok func(*slot) bool) ([]*slot, float64) {
 	sp := w.j.rec.Spec
 	var chosen []*slot
 	worst := 0.0
-	zones := map[string]int{}
+	zones := make([]int, p.n.zones.Len())
 	for range w.tasks {
-		s := p.n.best(w.j, from, func(s *slot) bool {
+		s := p.up.best(w.j, func(s *slot) bool {
 			return ok(s) && !(sp.Spread && zones[s.zone] >= zoneLimit(sp))
 		})
 		if s == nil {
@@ -320,90 +411,38 @@
 	return chosen, worst
 }
 
+// source is a place that a gang which does not fit yet may get.
+type source struct {
+	s       *slot
+	victims []victim
+	drain   bool
+	cost    float64
+}
+
+// choice is how a gang could get its room in one zone.
+type choice struct {
+	zone int // -1: any
+	from []source
+	hire int
+	cost float64
+}
+
 // awaitGang makes room for a gang that does not fit yet, in the zone where
 // that costs least: it keeps what is free, about to be free or booting, hires,
 // stops work that it may stop, and as the last resort keeps machines from
 // being filled again until what runs there has ended.
 func (p *plan) awaitGang(w *want) {
 	sp := w.j.rec.Spec
-	type source struct {
-		s       *slot
-		victims []victim
-		drain   bool
-		cost    float64
-	}
-	type choice struct {
-		zone string
-		from []source
-		hire int
-		cost float64
-	}
-	var best *choice
 	mayEvict := p.mayPreempt(w)
-	canTake := func(zone string) *choice {
-		c := &choice{zone: zone}
-		var all []source
-		add := func(s *slot, cost float64) {
-			taken := 0
-			for s.fitsSoon(sp) {
-				s.take(sp)
-				taken++
-				all = append(all, source{s: s, cost: cost})
-			}
-			s.give(sp, taken)
-		}
-		for _, s := range p.slots {
-			if zone != "" && s.zone != zone || !s.suits(w.j) || s.reserved {
-				continue
-			}
-			if s.fitsSoon(sp) {
-				add(s, 0)
-				continue
-			}
-			if v, ok := p.clearing(w, s, false); ok && mayEvict {
-				cost := 10.0
-				for _, x := range v {
-					cost += x.cost / 4
-				}
-				all = append(all, source{s: s, victims: v, cost: cost})
-			} else if _, ok := p.clearing(w, s, true); ok {
-				all = append(all, source{s: s, drain: true, cost: 60})
-			}
-		}
-		for _, s := range p.hope {
-			if (zone == "" || s.zone == zone) && s.suits(w.j) {
-				add(s, 15)
-			}
-		}
-		slices.SortStableFunc(all, func(a, b source) int { return int(a.cost) - int(b.cost) })
-		if canHire := p.canHire(sp, zone); canHire {
-			at := slices.IndexFunc(all, func(x source) bool { return x.cost > 30 })
-			if at >= 0 {
-				all = all[:at]
+	var best *choice
+	if sp.SameZone && w.j.zone < 0 {
+		for z := range p.n.zones.Len() {
+			if c := p.gather(w, z, mayEvict); best == nil || c.cost < best.cost {
+				best = c
 			}
 		}
-		c.from = all[:min(len(all), len(w.tasks))]
-		for _, x := range c.from {
-			c.cost += x.cost
-		}
-		c.hire = len(w.tasks) - len(c.from)
-		c.cost += float64(c.hire) * 30
-		if c.hire > 0 && !p.canHire(sp, zone) {
-			c.cost += 1000 * float64(c.hire)
-		}
-		if zone != "" && zone == w.j.gangZone {
-			c.cost -= 10 // rather go on where room is being made already
-		}
-		return c
-	}
-	zones := []string{sp.Zone}
-	if sp.SameZone && sp.Zone == "" {
-		zones = p.n.cfg.Zones
-	}
-	for _, z := range zones {
-		if c := canTake(z); best == nil || c.cost < best.cost {
-			best = c
-		}
+	} else {
+		best = p.gather(w, w.j.zone, mayEvict)
 	}
 	w.j.gangZone = best.zone
 	stopped := false
@@ -424,7 +463,7 @@
 		w.j.preemptAt = p.n.now + 3*p.n.cfg.Report
 	}
 	for range best.hire {
-		s := p.hireFor(w, func(s *slot) bool { return best.zone == "" || s.zone == best.zone })
+		s := p.hireFor(w, func(s *slot) bool { return best.zone < 0 || s.zone == best.zone })
 		if s == nil {
 			return
 		}
@@ -432,10 +471,90 @@
 	}
 }
 
+// gather works out what a gang's room in a zone would cost.
+func (p *plan) gather(w *want, zone int, mayEvict bool) *choice {
+	sp := w.j.rec.Spec
+	c := &choice{zone: zone}
+	canHire := p.canHire(w.j, zone)
+	var all []source
+	seen := map[*slot]bool{}
+	add := func(s *slot, cost float64) {
+		if s.reserved || seen[s] || zone >= 0 && s.zone != zone || !s.suits(w.j) || !s.fitsSoon(sp) {
+			return
+		}
+		seen[s] = true
+		// What it can take is worked out on a copy.
+		for room := *s; room.fitsSoon(sp) && len(all) < 4*len(w.tasks); {
+			room.in = nil
+			room.take(sp)
+			all = append(all, source{s: s, cost: cost})
+		}
+	}
+	for _, k := range p.up.order {
+		if (zone < 0 || k.zone == zone) && w.j.allows(k.rig, k.zone, k.spot) {
+			for _, s := range *p.up.open[k] {
+				p.n.work++
+				add(s, 0)
+			}
+		}
+	}
+	for _, s := range p.up.soon {
+		add(s, 0)
+	}
+	for _, s := range p.hope.all {
+		if len(all) >= 4*len(w.tasks) {
+			break
+		}
+		add(s, 15)
+	}
+	if mayEvict || !canHire {
+		for _, s := range p.up.all {
+			if zone >= 0 && s.zone != zone || s.reserved || seen[s] || s.h.leastPrio == noPrio || !s.suits(w.j) {
+				continue
+			}
+			p.n.work++
+			if mayEvict && s.h.leastPrio <= w.j.prio {
+				if v, ok := p.clearing(w, s, false); ok {
+					cost := 10.0
+					for _, x := range v {
+						cost += x.cost / 4
+					}
+					all = append(all, source{s: s, victims: v, cost: cost})
+					continue
+				}
+			}
+			if !canHire {
+				if _, ok := p.clearing(w, s, true); ok {
+					all = append(all, source{s: s, drain: true, cost: 60})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b source) int { return int(a.cost) - int(b.cost) })
+	if canHire {
+		if at := slices.IndexFunc(all, func(x source) bool { return x.cost > 30 }); at >= 0 {
+			all = all[:at]
+		}
+	}
+	c.from = all[:min(len(all), len(w.tasks))]
+	for _, x := range c.from {
+		c.cost += x.cost
+	}
+	c.hire = len(w.tasks) - len(c.from)
+	c.cost += float64(c.hire) * 30
+	if c.hire > 0 && !canHire {
+		c.cost += 1000 * float64(c.hire)
+	}
+	if zone >= 0 && zone == w.j.gangZone {
+		c.cost -= 10 // rather go on where room is being made already
+	}
+	return c
+}
+
 // victim is a task that may be stopped to make room.
 type victim struct {
 	j    *job
-	a    wire.Active
+	key  taskKey
 	cost float64
 }
 
@@ -456,39 +575,36 @@
 		return nil, false
 	}
 	var list []victim
-	for _, jx := range s.h.jobs {
-		v := n.jobs[jx]
-		if v == w.j || v.rec.State != wire.Live || v.rec.Spec.Shape == wire.ShapeDaemon {
+	for i := range s.h.on {
+		x := &s.h.on[i]
+		v := n.jobs[x.job]
+		if v == w.j || x.stop != wire.Keep || v.rec.State != wire.Live || v.rec.Spec.Shape == wire.ShapeDaemon {
 			continue
 		}
-		if !all && (p.w.recs[jx] != nil || !p.mayStop(w, v)) {
+		if !all && (p.w.recs[x.job] != nil || !p.mayStop(w, v)) {
 			continue
 		}
-		for _, a := range v.rec.Active {
-			if a.Host == s.h.name && a.Stop == wire.Keep {
-				cost := v.rec.Spec.SaveS + float64(20*v.prio)
-				if v.rec.Spec.CheckpointS == 0 {
-					cost += 100
-				}
-				if v.rec.Spec.Shape == wire.ShapeGang {
-					cost += 30 * float64(len(v.rec.Active)-1)
-				}
-				list = append(list, victim{v, a, cost})
-			}
+		cost := v.rec.Spec.SaveS + float64(20*v.prio)
+		if v.rec.Spec.CheckpointS == 0 {
+			cost += 100
+		}
+		if v.rec.Spec.Shape == wire.ShapeGang {
+			cost += 30 * float64(len(v.rec.Active)-1)
 		}
+		list = append(list, victim{v, x.taskKey, cost})
 	}
 	slices.SortStableFunc(list, func(a, b victim) int { return int(a.cost*10) - int(b.cost*10) })
 	room := *s
-	fits := func() bool { return room.fitsSoon(sp) }
+	room.in = nil
 	var chosen []victim
 	for _, v := range list {
-		if fits() {
+		if room.fitsSoon(sp) {
 			break
 		}
 		chosen = append(chosen, v)
 		room.give(v.j.rec.Spec, 1)
 	}
-	return chosen, len(chosen) > 0 && fits()
+	return chosen, len(chosen) > 0 && room.fitsSoon(sp)
 }
 
 // preempt stops work to make room for one task: work of lower urgency, or
@@ -500,10 +616,11 @@
 	var best []victim
 	var room *slot
 	bestCost := 0.0
-	for _, s := range p.slots {
-		if !s.suits(w.j) || !ok(s) || s.reserved {
+	for _, s := range p.up.all {
+		if s.h.leastPrio > w.j.prio || s.reserved || !s.suits(w.j) || !ok(s) {
 			continue
 		}
+		p.n.work++
 		chosen, fits := p.clearing(w, s, false)
 		if !fits {
 			continue
@@ -517,6 +634,7 @@
 		}
 	}
 	if best == nil || !p.stop(w, best) {
+		w.j.preemptAt = p.n.now + second // no need to look again at every pass
 		return nil
 	}
 	w.j.preemptAt = p.n.now + 3*p.n.cfg.Report + Time(best[0].j.rec.Spec.SaveS*float64(second))
@@ -535,12 +653,12 @@
 			markStop(rec)
 		} else {
 			for i := range rec.Active {
-				if rec.Active[i].Task == v.a.Task && rec.Active[i].Attempt == v.a.Attempt {
+				if rec.Active[i].Task == v.key.task && rec.Active[i].Attempt == v.key.attempt {
 					rec.Active[i].Stop = wire.Preempt
 				}
 			}
 		}
-		p.n.log(1, "preempting", "job", v.j.ref, "task", v.a.Task, "for", w.j.ref)
+		p.n.log(1, "preempting", "job", v.j.ref, "task", v.key.task, "for", w.j.ref)
 	}
 	p.stops++
 	return true
@@ -560,5 +678,5 @@
 	if v.prio < w.j.prio {
 		return true
 	}
-	return v.prio == w.j.prio && w.within && !v.within && v.rec.Spec.Team != w.j.rec.Spec.Team
+	return v.prio == w.j.prio && w.within && !v.within && v.team != w.j.team
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -24,10 +24,10 @@
 		return core.Reply{Req: 5, Status: 200, Body: wire.JobStatus{Ref: u.Ref, Status: "done"}}, true
 	})
 	link := Dial(l.Addr().String())
-	link.Send(&wire.Gossip{From: "n0", Hosts: []wire.HostInfo{{Name: "vm-1", Images: []string{"a"}}}, Holds: []wire.Hold{{Ref: "wk-1", Attempt: 3, OK: true}}})
+	link.Send(&wire.Gossip{From: "n0", Hosts: []wire.HostInfo{{Name: "vm-1", Images: []int{7}}}, Holds: []wire.Hold{{Ref: "wk-1", Attempt: 3, OK: true}}})
 	select {
 	case m := <-heard:
-		if m.From != "n0" || m.Hosts[0].Images[0] != "a" || !m.Holds[0].OK {
+		if m.From != "n0" || m.Hosts[0].Images[0] != 7 || !m.Holds[0].OK {
 			t.Errorf("heard %+v", m)
 		}
 	case <-time.After(5 * time.Second):
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -26,12 +27,52 @@
 	base   string
 	http   *http.Client
 	watch  *http.Client
-	bulk   *rate.Limiter // requests that may wait
-	writes *rate.Limiter // puts and deletes that may wait
+	bulk   *budget // requests that may wait
+	writes *budget // puts and deletes that may wait
 	slots  chan struct{}
+	pause  time.Duration // between two watches
 	post   func(any)
 }
 
+// budget is our share of a limit that all controllers have in common. The load
+// is uneven, as the leader writes most, and moves with the leadership; nobody
+// knows the others' use. So each takes more as long as the service lets it,
+// and a good deal less when it says that it is too much.
+type budget struct {
+	*rate.Limiter
+	least, most float64
+
+	mu  sync.Mutex
+	cut time.Time // when it was last reduced
+}
+
+// newBudget starts in the middle between an even share and all but what is
+// left for requests that can't wait.
+func newBudget(limit float64, members, burst int) *budget {
+	b := &budget{least: limit / float64(members) / 2, most: limit * 0.8}
+	b.Limiter = rate.NewLimiter(rate.Limit(max(b.least, min(b.most, limit*0.4))), max(1, burst))
+	return b
+}
+
+// refused makes the share smaller, once for all refusals of a moment.
+func (b *budget) refused() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := time.Now(); now.Sub(b.cut) > 300*time.Millisecond {
+		b.cut = now
+		b.SetLimit(rate.Limit(max(b.least, float64(b.Limit())*0.75)))
+	}
+}
+
+// served makes it larger for what has been carried out.
+func (b *budget) served(k int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.cut) > time.Second {
+		b.SetLimit(rate.Limit(min(b.most, float64(b.Limit())+0.05*float64(k))))
+	}
+}
+
 // New makes a client that stays within its share of the service's limits.
 func New(addr string, members int, rps, writeRPS float64, txnOps int, post func(any)) *Client {
 	transport := func(conns int) *http.Transport {
@@ -41,17 +82,17 @@
 			IdleConnTimeout: 60 * time.Second, DisableCompression: true,
 		}
 	}
-	// The load is uneven: the leader writes most. Each may use more than its
-	// even share, and backs off when the service says that it is too much.
-	share := func(x float64) rate.Limit { return rate.Limit(x * min(1, 1.6/float64(members))) }
 	return &Client{
 		base:   "http://" + addr,
 		http:   &http.Client{Transport: transport(8), Timeout: 1500 * time.Millisecond},
 		watch:  &http.Client{Transport: transport(2), Timeout: 4500 * time.Millisecond},
-		bulk:   rate.NewLimiter(share(rps), max(1, int(rps/4))),
-		writes: rate.NewLimiter(share(writeRPS)*0.8, max(txnOps, int(writeRPS/2))),
+		bulk:   newBudget(rps, members, int(rps/4)),
+		writes: newBudget(writeRPS, members, max(txnOps, int(writeRPS/2))),
 		slots:  make(chan struct{}, 24),
-		post:   post,
+		// Changes come in bursts; a short pause gathers them. All watches
+		// together take at most a third of the service's requests.
+		pause: max(40*time.Millisecond, time.Duration(float64(3*members)/rps*float64(time.Second))),
+		post:  post,
 	}
 }
 
@@ -101,7 +142,11 @@
 			body.Writes = append(body.Writes, m)
 		}
 		var a answer
-		out := c.call(q.Class, http.MethodPost, "/commit", body, &a)
+		limit := c.bulk
+		if len(q.Writes) > 0 {
+			limit = c.writes
+		}
+		out := c.limited(limit, len(q.Writes), q.Class, http.MethodPost, "/commit", body, &a)
 		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev})
 	}()
 }
@@ -141,6 +186,11 @@
 
 // call sends a request and says what is certain about it.
 func (c *Client) call(class core.Class, method, path string, body, into any) core.Outcome {
+	return c.limited(c.bulk, 0, class, method, path, body, into)
+}
+
+// limited is call for a request that counts against a budget.
+func (c *Client) limited(limit *budget, writes int, class core.Class, method, path string, body, into any) core.Outcome {
 	select {
 	case c.slots <- struct{}{}:
 		defer func() { <-c.slots }()
@@ -156,6 +206,7 @@
 		}
 		switch status {
 		case http.StatusOK:
+			limit.served(max(1, writes))
 			return core.OK
 		case http.StatusConflict:
 			return core.Conflict
@@ -164,6 +215,7 @@
 		case http.StatusBadRequest:
 			return core.BadLease
 		case http.StatusTooManyRequests:
+			limit.refused()
 			if try < 4 {
 				time.Sleep(time.Duration(100+rand.IntN(150)*(try+1)) * time.Millisecond)
 				continue
@@ -252,8 +304,7 @@
 			}
 			rev = ch.Rev
 			c.post(ch)
-			// Changes come in bursts; a short pause gathers them.
-			time.Sleep(40 * time.Millisecond)
+			time.Sleep(c.pause)
 		case status == http.StatusGone:
 			listed = false
 		default:
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -1,20 +1,36 @@
 package wire
 
-// HostInfo is what the owner of a part tells the others about a machine.
+// HostInfo is what the owner of a part tells the others about a machine. Names
+// other than its own are places in the message's list.
 type HostInfo struct {
-	_msgpack struct{} `msgpack:",omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
-	Rig      string
-	Zone     string
-	Spot     bool
-	SilentS  float64 // since its last report
-	Leaving  bool    // recalled, or about to be returned
-	Retiring bool    // its owner places nothing on it any more; it may be returned
-	Sick     bool    // fails jobs
-	Lost     bool    // silent while its neighbours report
-	Errors   int     // failures since its last success
-	Images   []string
-	FetchGB  float64 // images that it is fetching
+	Rig      int
+	Zone     int
+	Flags    int // see the constants; from bit 8 on, how long it has been silent
+	Errors   int // failures since its last success
+	Images   []int
+}
+
+// Flags of a machine.
+const (
+	FlagSpot     = 1 << iota
+	FlagLeaving  // recalled, or about to be returned
+	FlagRetiring // its owner places nothing on it any more; it may be returned
+	FlagSick     // fails jobs
+	FlagLost     // silent while its neighbours report, or deaf to answers
+	FlagUnsure   // has not yet shown that it knows its owner's term
+)
+
+// Flags packs truths in the order of the constants.
+func Flags(list ...bool) int {
+	f := 0
+	for i, on := range list {
+		if on {
+			f |= 1 << i
+		}
+	}
+	return f
 }
 
 // Hold says that an owner holds room for its tasks of a gang attempt.
@@ -26,25 +42,39 @@
 	OK       bool
 }
 
+// Seen says how far a controller has taken in what another life tells of its
+// machines.
+type Seen struct {
+	Life string
+	Ver  uint64
+}
+
 // Gossip is the one message between controllers. It is sent every second and
 // at once when a gang is tried or settled; each field may be lost or repeated
 // without harm, as safety rests on the state service alone.
+//
+// Hosts holds the machines that changed after version Since, up to Ver. The
+// receiver says in Seen how far it has come, so that a message that was lost,
+// or a new process at either end, makes the sender tell more.
 type Gossip struct {
 	_msgpack struct{} `msgpack:",omitempty"`
 	From     string
 	Life     string
 	UpS      float64
 	StoreOK  bool
-	CutOff   bool   // the sender reaches neither the cloud nor any controller directly
-	Rev      uint64 // how far the sender's copy of the records goes
-	Parts    []int  // owned and valid
+	CutOff   bool  // the sender reaches neither the cloud nor any controller directly
+	Parts    []int // owned and valid
 	Terms    []uint64
+	Seen     map[string]Seen
+	Since    uint64
+	Ver      uint64
+	Names    []string
 	Hosts    []HostInfo
 	Holds    []Hold
 	Tries    []Hold   // leader: gang attempts that wait for holds, confirmed if OK
 	Retire   []string // leader: machines to be emptied for return
 	Returned []string // leader: machines the cloud has confirmed gone
-	Strays   []string // machines of others' parts that came here lately
+	Strays   []string // machines that came here though their owners miss them
 }
 
 // UserCall is a user's request handed to a peer that can reach the state service.
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -92,7 +92,8 @@
 // Images says which machines of a controller's parts have which images, so
 // that the knowledge outlives the process.
 type Images struct {
-	Hosts map[string][]string `msgpack:"h"`
+	Names []string         `msgpack:"n"` // of the images
+	Hosts map[string][]int `msgpack:"h"` // places in Names
 }
 
 // Types caches the machine types, for processes that start while the cloud
