--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"micaport/internal/wire"
@@ -40,9 +41,10 @@
 	Validity                Time // how long an owner may act on a renewal
 	LeaderTTL               Time
 	TxnOps, ValueBytes      int
+	BatchPuts               int // records that one of our transactions changes at most
 	ListLag                 Time
 	CloudRPS                float64
-	StateRPS                float64
+	StateRPS, WriteRPS      float64 // 0: no limit
 
 	IdleReturn  Time
 	Spares      int
@@ -171,6 +173,7 @@
 		ID      uint64
 		Outcome Outcome
 		Rev     uint64
+		Failed  []string // after Conflict: the keys that were not as demanded
 	}
 	// GotJob is the result of Read.
 	GotJob struct {
@@ -259,6 +262,7 @@
 	ownInfoAt  Time
 	heldAt     Time
 	usersAt    Time
+	puts       purse
 	work       uint64 // machines looked at so far
 	roomAt     Time
 	imagesAt   Time
@@ -408,6 +412,9 @@
 		n.storeHeard(c.Outcome)
 		f(c)
 	})
+	if class == Bulk {
+		n.puts.left -= float64(len(writes))
+	}
 	n.emit(Commit{ID: id, If: conds, Writes: writes, Class: class})
 }
 
@@ -555,17 +562,17 @@
 	unsure  bool // an earlier sending may yet be carried out
 	conds   []Cond
 	writes  []Write
-	jobs    []int
-	until   uint64 // revision that our copy must reach
+	extra   []Write // writes that belong together with others of the batch
+	until   uint64  // revision that our copy must reach
 	retryAt Time
 	onOK    func()
 	gen     uint64
 }
 
-func (b *batch) start(n *Node, conds []Cond, writes []Write, jobs []int, onOK func()) {
+func (b *batch) start(n *Node, conds []Cond, writes, extra []Write, onOK func()) {
 	b.gen++
 	b.active, b.waiting, b.unsure, b.until = true, false, false, 0
-	b.conds, b.writes, b.jobs, b.onOK = conds, writes, jobs, onOK
+	b.conds, b.writes, b.extra, b.onOK = conds, writes, extra, onOK
 	b.send(n)
 }
 
@@ -585,6 +592,10 @@
 			b.until = c.Rev
 		case Conflict:
 			n.log(0, "commit lost a race", "role", b.name, "rev", c.Rev)
+			if b.without(c.Failed) {
+				b.send(n)
+				return
+			}
 			b.until = max(c.Rev, 1)
 		case Refused, BadLease:
 			if !b.unsure {
@@ -609,7 +620,7 @@
 // ready tells whether a new batch may be made, and resends an unsure one.
 func (b *batch) ready(n *Node) bool {
 	if !b.active {
-		return n.now >= b.retryAt
+		return n.now >= b.retryAt && n.mayPut() >= 1
 	}
 	if !b.waiting && b.until == 0 && n.now >= b.retryAt {
 		b.send(n)
@@ -617,6 +628,24 @@
 	return false
 }
 
+// without takes the records out of the batch that others have changed, so
+// that the rest need not wait for a new decision. It tells whether that can
+// be done: only records of jobs stand for themselves, and only in a batch that
+// was not sent before without an answer.
+func (b *batch) without(failed []string) bool {
+	if b.unsure || len(failed) == 0 || len(b.extra) > 0 {
+		return false
+	}
+	for _, key := range failed {
+		if !strings.HasPrefix(key, wire.JobPrefix) {
+			return false
+		}
+	}
+	b.conds = slices.DeleteFunc(b.conds, func(c Cond) bool { return slices.Contains(failed, c.Key) })
+	b.writes = slices.DeleteFunc(b.writes, func(w Write) bool { return slices.Contains(failed, w.Key) })
+	return len(b.writes) > 0
+}
+
 // drop forgets the batch; the role that made it has been lost, and with it
 // the condition under which the batch could still be carried out.
 func (b *batch) drop() {
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -21,7 +21,7 @@
 	n.ownInfo()
 	m := wire.Gossip{
 		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(),
-		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{},
+		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{}, Need: n.puts.need,
 	}
 	for _, p := range n.parts {
 		if n.valid(p) {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -178,7 +178,9 @@
 	n.leadGangs(w)
 	n.revokeOrphans(w)
 	n.ownInfo()
-	n.plan(w)
+	left := n.plan(w)
+	n.puts.leader = len(w.order) + left
+	n.log(0, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
 }
 
@@ -195,8 +197,19 @@
 func (n *Node) revokeOrphans(w *writer) {
 	for _, jx := range n.live {
 		j := n.jobs[jx]
+		if j.unplaced == 0 {
+			continue
+		}
 		for _, a := range j.rec.Active {
-			if a.Host != "" || n.now-j.changed < 8*second || n.gangs[wire.GangKey(j.ref, a.Attempt)] != nil {
+			if a.Host != "" {
+				continue
+			}
+			// An owner that is there may just be waiting for its turn to write.
+			wait := 8 * second
+			if n.ownerThere(n.parts[a.Part]) {
+				wait = 40 * second
+			}
+			if n.now-j.changed < wait || n.gangs[wire.GangKey(j.ref, a.Attempt)] != nil {
 				continue
 			}
 			rec := w.job(j)
@@ -211,6 +224,15 @@
 	}
 }
 
+// ownerThere tells whether a part has an owner that can be heard.
+func (n *Node) ownerThere(p *part) bool {
+	if p.rec == nil {
+		return false
+	}
+	owner := n.peers[p.rec.Owner]
+	return n.holds(p) || owner != nil && n.now-owner.at < 5*second
+}
+
 // use is what a team's tasks take.
 type use struct{ cores, cards float64 }
 
@@ -221,21 +243,23 @@
 
 // plan holds the state of one planning pass.
 type plan struct {
-	n      *Node
-	w      *writer
-	up     *slotSet // machines up
-	hope   *slotSet // machines booting, hired or to be hired
-	used   []use    // by team
-	hires  map[pool]int
-	count  map[pool]int // machines of each pool, up, coming or planned
-	misses []miss       // demands that found no free room in this pass
-	full   bool         // the commit takes no more
-	stops  int
+	n       *Node
+	w       *writer
+	up      *slotSet // machines up
+	hope    *slotSet // machines booting, hired or to be hired
+	used    []use    // by team
+	hires   map[pool]int
+	count   map[pool]int // machines of each pool, up, coming or planned
+	misses  []miss       // demands that found no free room in this pass
+	full    bool         // the commit takes no more
+	stops   int
+	waiting int // tasks for which there was no room
 }
 
 // plan grants waiting tasks to parts, in the order of the queue, and works
-// out what to hire, stop and return.
-func (n *Node) plan(w *writer) {
+// out what to hire, stop and return. It tells how many jobs were left for want
+// of puts.
+func (n *Node) plan(w *writer) int {
 	p := &plan{n: n, w: w, up: newSlotSet(n), hope: newSlotSet(n), used: make([]use, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{}}
 	for _, x := range n.parts {
 		for _, h := range x.hosts {
@@ -256,8 +280,10 @@
 	p.chargeGrants()
 	n.hopedFor(p)
 	idle := p.idleSlots()
-	p.serveQueues(n.queues())
+	left := p.serveQueues(n.queues())
+	n.log(0, "room", "up", len(p.up.all), "idle", len(idle), "coming", len(p.hope.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
 	n.hireAndReturn(p, idle)
+	return left
 }
 
 // chargeGrants takes room for grants that their owners have not placed yet.
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -708,10 +708,12 @@
 	extra []Write
 	conds []Cond
 	bytes int
+	limit int // puts
 }
 
 func newWriter(n *Node) *writer {
-	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}}
+	limit := min(n.cfg.TxnOps-1, n.cfg.BatchPuts, n.mayPut())
+	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, limit: limit}
 }
 
 // job gives a copy of the record to change, or nil when the commit is full.
@@ -720,7 +722,7 @@
 		return r
 	}
 	size := 900 + 60*len(j.rec.Active)
-	if len(w.order)+len(w.extra) >= w.n.cfg.TxnOps-1 || w.bytes+size > 48_000 {
+	if len(w.order)+len(w.extra) >= w.limit || w.bytes+size > 48_000 {
 		return nil
 	}
 	w.bytes += size
@@ -758,7 +760,7 @@
 		conds = append(conds, Cond{wire.JobKey(j.ref), j.rev})
 		writes = append(writes, Write{Key: wire.JobKey(j.ref), Value: w.recs[jx]})
 	}
-	b.start(w.n, conds, writes, w.order, onOK)
+	b.start(w.n, conds, writes, w.extra, onOK)
 }
 
 func (n *Node) applyResults(w *writer) {
--- /dev/null
+++ b/internal/core/purse.go
@@ -0,0 +1,77 @@
+package core
+
+// purse is what we may still put into the state service now. The service
+// allows few puts, for all controllers together; a fifth is left for what
+// can't wait, which are claims, submissions and withdrawals. The rest is
+// shared by need: each controller tells how many records it has to write, and
+// takes the share that this gives it. What is decided is thus written at once,
+// before others have changed the records that it rests on.
+type purse struct {
+	left   float64
+	at     Time
+	rate   float64
+	rateAt Time
+	need   int // records that wait to be written by us
+	leader int // of these, grants that the last pass of the leader found no put for
+}
+
+// forBulk is the part of the puts that is shared by need.
+const forBulk = 0.8
+
+// mayPut is how many puts we may send now.
+func (n *Node) mayPut() int {
+	if n.cfg.WriteRPS <= 0 {
+		return n.cfg.TxnOps
+	}
+	p := &n.puts
+	if n.now >= p.rateAt {
+		p.rateAt = n.now + 200*1e6
+		p.need = n.countNeed()
+		p.rate = n.putRate()
+	}
+	p.left = min(p.left+p.rate*(n.now-p.at).Seconds(), float64(n.cfg.BatchPuts)+1)
+	p.at = n.now
+	return int(p.left)
+}
+
+// putRate is our share of the puts a second.
+func (n *Node) putRate() float64 {
+	mine := 1 + float64(n.puts.need)
+	total := mine
+	for _, m := range n.cfg.Members {
+		if p := n.peers[m.Label]; m.Label == n.cfg.Self {
+			continue
+		} else if p != nil && n.now-p.at < 5*second {
+			total += 1 + float64(p.msg.Need)
+		} else {
+			total++
+		}
+	}
+	all := n.cfg.WriteRPS * forBulk
+	return max(all*mine/total, all/float64(3*len(n.cfg.Members)))
+}
+
+// countNeed counts the records that wait to be written by us: of tasks that
+// have ended, of grants to our parts, and of grants yet to be made.
+func (n *Node) countNeed() int {
+	seen := map[int]bool{}
+	for k := range n.results {
+		seen[k.job] = true
+	}
+	for _, jx := range n.live {
+		j := n.jobs[jx]
+		if j.unplaced == 0 {
+			continue
+		}
+		for i := range j.rec.Active {
+			if a := &j.rec.Active[i]; a.Host == "" && n.valid(n.parts[a.Part]) {
+				seen[jx] = true
+				break
+			}
+		}
+	}
+	if n.leads() {
+		return len(seen) + n.puts.leader
+	}
+	return len(seen)
+}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -50,6 +50,9 @@
 		if n.now < j.notBefore {
 			continue
 		}
+		if j.unplaced > 0 && n.now-j.changed < placingTime {
+			continue
+		}
 		w := &want{j: j, within: j.within}
 		if sp.Shape == wire.ShapeGang {
 			if len(j.rec.Active) > 0 {
@@ -71,6 +74,10 @@
 	return out
 }
 
+// placingTime is how long a job's owners have for placing what was granted
+// before more is granted to it: the record can't be written by both at once.
+const placingTime = 700 * 1e6
+
 // rank puts urgent work first, and among equals work within a guarantee
 // before borrowed. It must agree with mayStop: if what was stopped came before
 // what it was stopped for, the two would take turns.
@@ -119,8 +126,9 @@
 }
 
 // serveQueues takes the teams in turn: the most pressing head first, and
-// among equals the team that uses the least of its share.
-func (p *plan) serveQueues(qs []*teamQueue) {
+// among equals the team that uses the least of its share. It tells how many
+// jobs it did not come to.
+func (p *plan) serveQueues(qs []*teamQueue) int {
 	p.serveStarved(qs)
 	for !p.full {
 		var pick *teamQueue
@@ -134,7 +142,7 @@
 			}
 		}
 		if pick == nil {
-			return
+			return 0
 		}
 		w := pick.wants[0]
 		more := false
@@ -147,6 +155,11 @@
 			pick.wants = pick.wants[1:]
 		}
 	}
+	left := 0
+	for _, q := range qs {
+		left += len(q.wants)
+	}
+	return min(left, 50)
 }
 
 // record is the job's record with what this pass has added.
@@ -235,6 +248,7 @@
 		}
 	}
 	w.noRoom = true
+	p.waiting++
 	p.blocked(j)
 	// Room on its way counts before machines still to come.
 	if !w.noSoon {
@@ -321,6 +335,7 @@
 		return
 	}
 	p.blocked(j)
+	p.waiting += len(w.tasks)
 	if len(w.tasks) == 1 {
 		for _, s := range p.up.soon {
 			if s.suits(j) && s.fitsSoon(sp) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	}
 	n.core = core.New(coreConfig(s, op))
 	members := len(s.Peers) + 1
-	n.store = store.New(s.External.State, members, d.State.RPS, d.State.WriteRPS, d.State.TxnOps, n.post)
+	n.store = store.New(s.External.State, members, d.State.RPS, n.post)
 	n.cloud = cloud.New(s.External.Cloud, d.Cloud.RPS, n.post)
 	for _, p := range s.Peers {
 		n.links[p.Label] = peer.Dial(p.Address)
@@ -110,8 +110,11 @@
 		Validity:  s.Validity(),
 		LeaderTTL: 5 * time.Second,
 		TxnOps:    d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
-		ListLag:  config.Seconds(d.Cloud.ListLagS),
-		CloudRPS: d.Cloud.RPS, StateRPS: d.State.RPS,
+		// A transaction needs as many of the puts allowed a second at once; a
+		// large one would wait behind every small one.
+		BatchPuts: max(2, int(d.State.WriteRPS/4)),
+		ListLag:   config.Seconds(d.Cloud.ListLagS),
+		CloudRPS:  d.Cloud.RPS, StateRPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
 		MaxMachines: op.MaxMachines, Preempt: op.Preempt,
 		WallMS: func() int64 { return time.Now().UnixMilli() },
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,57 +23,17 @@
 
 // Client is the adapter. Post delivers results to the core.
 type Client struct {
-	base   string
-	http   *http.Client
-	watch  *http.Client
-	bulk   *budget // requests that may wait
-	writes *budget // puts and deletes that may wait
-	slots  chan struct{}
-	pause  time.Duration // between two watches
-	post   func(any)
-}
-
-// budget is our share of a limit that all controllers have in common. The load
-// is uneven, as the leader writes most, and moves with the leadership; nobody
-// knows the others' use. So each takes more as long as the service lets it,
-// and a good deal less when it says that it is too much.
-type budget struct {
-	*rate.Limiter
-	least, most float64
-
-	mu  sync.Mutex
-	cut time.Time // when it was last reduced
-}
-
-// newBudget starts in the middle between an even share and all but what is
-// left for requests that can't wait.
-func newBudget(limit float64, members, burst int) *budget {
-	b := &budget{least: limit / float64(members) / 2, most: limit * 0.8}
-	b.Limiter = rate.NewLimiter(rate.Limit(max(b.least, min(b.most, limit*0.4))), max(1, burst))
-	return b
-}
-
-// refused makes the share smaller, once for all refusals of a moment.
-func (b *budget) refused() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now := time.Now(); now.Sub(b.cut) > 300*time.Millisecond {
-		b.cut = now
-		b.SetLimit(rate.Limit(max(b.least, float64(b.Limit())*0.75)))
-	}
-}
-
-// served makes it larger for what has been carried out.
-func (b *budget) served(k int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if time.Since(b.cut) > time.Second {
-		b.SetLimit(rate.Limit(min(b.most, float64(b.Limit())+0.05*float64(k))))
-	}
+	base  string
+	http  *http.Client
+	watch *http.Client
+	bulk  *rate.Limiter // requests that may wait
+	slots chan struct{}
+	pause time.Duration // between two watches
+	post  func(any)
 }
 
 // New makes a client that stays within its share of the service's limits.
-func New(addr string, members int, rps, writeRPS float64, txnOps int, post func(any)) *Client {
+func New(addr string, members int, rps float64, post func(any)) *Client {
 	transport := func(conns int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -83,12 +42,13 @@
 		}
 	}
 	return &Client{
-		base:   "http://" + addr,
-		http:   &http.Client{Transport: transport(8), Timeout: 1500 * time.Millisecond},
-		watch:  &http.Client{Transport: transport(2), Timeout: 4500 * time.Millisecond},
-		bulk:   newBudget(rps, members, int(rps/4)),
-		writes: newBudget(writeRPS, members, max(txnOps, int(writeRPS/2))),
-		slots:  make(chan struct{}, 24),
+		base:  "http://" + addr,
+		http:  &http.Client{Transport: transport(8), Timeout: 1500 * time.Millisecond},
+		watch: &http.Client{Transport: transport(2), Timeout: 4500 * time.Millisecond},
+		// The core keeps to its share of the puts; this keeps any one
+		// controller from using up the requests.
+		bulk:  rate.NewLimiter(rate.Limit(rps*min(1, 2/float64(members))), max(1, int(rps/4))),
+		slots: make(chan struct{}, 24),
 		// Changes come in bursts; a short pause gathers them. All watches
 		// together take at most a third of the service's requests.
 		pause: max(40*time.Millisecond, time.Duration(float64(3*members)/rps*float64(time.Second))),
@@ -111,6 +71,7 @@
 	Value  msgpack.RawMessage `msgpack:"v"`
 	KeyRev uint64             `msgpack:"key_rev"`
 	Lease  uint64             `msgpack:"permit"`
+	Failed []string           `msgpack:"failed"`
 	Error  string             `msgpack:"error"`
 }
 
@@ -120,7 +81,7 @@
 		if q.Class == core.Bulk {
 			ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
 			defer stop()
-			if c.bulk.Wait(ctx) != nil || c.writes.WaitN(ctx, max(1, len(q.Writes))) != nil {
+			if c.bulk.Wait(ctx) != nil {
 				c.post(core.Committed{ID: q.ID, Outcome: core.Refused})
 				return
 			}
@@ -142,12 +103,8 @@
 			body.Writes = append(body.Writes, m)
 		}
 		var a answer
-		limit := c.bulk
-		if len(q.Writes) > 0 {
-			limit = c.writes
-		}
-		out := c.limited(limit, len(q.Writes), q.Class, http.MethodPost, "/commit", body, &a)
-		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev})
+		out := c.call(q.Class, http.MethodPost, "/commit", body, &a)
+		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev, Failed: a.Failed})
 	}()
 }
 
@@ -186,11 +143,6 @@
 
 // call sends a request and says what is certain about it.
 func (c *Client) call(class core.Class, method, path string, body, into any) core.Outcome {
-	return c.limited(c.bulk, 0, class, method, path, body, into)
-}
-
-// limited is call for a request that counts against a budget.
-func (c *Client) limited(limit *budget, writes int, class core.Class, method, path string, body, into any) core.Outcome {
 	select {
 	case c.slots <- struct{}{}:
 		defer func() { <-c.slots }()
@@ -206,7 +158,6 @@
 		}
 		switch status {
 		case http.StatusOK:
-			limit.served(max(1, writes))
 			return core.OK
 		case http.StatusConflict:
 			return core.Conflict
@@ -215,8 +166,8 @@
 		case http.StatusBadRequest:
 			return core.BadLease
 		case http.StatusTooManyRequests:
-			limit.refused()
-			if try < 4 {
+			// What may wait is better decided anew.
+			if try < 4 && class != core.Bulk {
 				time.Sleep(time.Duration(100+rand.IntN(150)*(try+1)) * time.Millisecond)
 				continue
 			}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -20,7 +20,7 @@
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
 	got := make(chan any, 100)
-	return New(strings.TrimPrefix(srv.URL, "http://"), 3, 1000, 1000, 12, func(in any) { got <- in }), got
+	return New(strings.TrimPrefix(srv.URL, "http://"), 3, 1000, func(in any) { got <- in }), got
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -66,6 +66,7 @@
 	Parts    []int // owned and valid
 	Terms    []uint64
 	Seen     map[string]Seen
+	Need     int // records that it has to write
 	Since    uint64
 	Ver      uint64
 	Names    []string
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -213,7 +213,7 @@
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
 		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait,
 		Validity: w.Validity, LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
-		ListLag: 4 * time.Second, CloudRPS: 2, StateRPS: 250, IdleReturn: w.Idle, Spares: 1, Preempt: true,
+		ListLag: 4 * time.Second, BatchPuts: 12, CloudRPS: 2, StateRPS: 250, IdleReturn: w.Idle, Spares: 1, Preempt: true,
 		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
 	for _, m := range w.nodes {
