--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -130,7 +130,7 @@
 	var chosen []*slot
 	sp := j.rec.Spec
 	for _, a := range tasks {
-		s := slots.best(j, func(s *slot) bool { return s.part == a.Part })
+		s := slots.best(j, func(s *slot) bool { return s.part == a.Part }, nil)
 		if s == nil {
 			break
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -251,7 +251,7 @@
 	hires   map[pool]int
 	count   map[pool]int // machines of each pool, up, coming or planned
 	misses  []miss       // demands that found no free room in this pass
-	full    bool         // the commit takes no more
+	left    int          // grants that found no put, at most 50
 	stops   int
 	waiting int // tasks for which there was no room
 }
@@ -307,7 +307,7 @@
 			}
 			s := byHost[n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]]
 			if s == nil {
-				s = p.up.best(j, func(s *slot) bool { return s.part == a.Part })
+				s = p.up.best(j, func(s *slot) bool { return s.part == a.Part }, nil)
 			}
 			if s != nil {
 				s.take(j.rec.Spec)
@@ -356,7 +356,7 @@
 	n := p.n
 	rec := p.w.job(j)
 	if rec == nil {
-		p.full = true
+		p.left = min(p.left+1, 50)
 		return false
 	}
 	attempt := rec.Next
@@ -377,7 +377,7 @@
 		key := wire.GangKey(j.ref, attempt)
 		if !p.w.also(Write{Key: key, Value: g}, Cond{key, 0}) {
 			rec.Active = rec.Active[:len(rec.Active)-len(tasks)]
-			p.full = true
+			p.left = min(p.left+1, 50)
 			return false
 		}
 	}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -443,8 +443,13 @@
 type result struct {
 	host  string
 	cause string // an exit cause, or "lost"
+	at    Time
 }
 
+// resultPause is how long a result waits for others of the same job: one put
+// serves them all, and the tasks of a gang end together.
+const resultPause = 250 * 1e6
+
 const causeLost = "lost"
 
 // reconcile compares a report with the records and gives the orders that
@@ -508,16 +513,16 @@
 		missed = missed || sent && gone
 		switch {
 		case r.Session > x.session:
-			n.results[k] = result{h.name, causeLost}
+			n.results[k] = result{h.name, causeLost, n.now}
 		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
 			if gone {
-				n.results[k] = result{h.name, causeLost}
+				n.results[k] = result{h.name, causeLost, n.now}
 			}
 		case gone && sent && h.ignored >= deafAfter-1:
 			// It goes on reporting and does not do what it is told. The
 			// report is newer than the answer that ordered the start and
 			// lacks it; from here on it is not ordered again.
-			n.results[k] = result{h.name, causeLost}
+			n.results[k] = result{h.name, causeLost, n.now}
 		case n.holdBack(j, n.active(k, h.name)):
 		default:
 			orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, k.task), Attempt: k.attempt})
@@ -596,7 +601,7 @@
 	if _, known := n.results[k]; known {
 		return
 	}
-	n.results[k] = result{h.name, t.Cause}
+	n.results[k] = result{h.name, t.Cause, n.now}
 	j := n.jobs[k.job]
 	switch t.Cause {
 	case wire.CauseDone:
@@ -623,6 +628,9 @@
 
 // usable tells whether an owner may place tasks on a machine of its own.
 func (n *Node) usable(h *host) bool {
+	if h.part < 0 {
+		return false
+	}
 	p := n.parts[h.part]
 	return h.term == p.rev && h.token && h.ignored == 0 && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
 		!h.sick && !h.retiring && !h.returned && n.now >= h.fullUntil
@@ -673,7 +681,7 @@
 		for i := range h.on {
 			k := h.on[i].taskKey
 			if _, known := n.results[k]; !known && h.on[i].part == p.ix {
-				n.results[k] = result{h.name, causeLost}
+				n.results[k] = result{h.name, causeLost, n.now}
 				n.log(1, "task lost with its machine", "job", n.jobs[k.job].ref, "task", k.task, "host", h.name)
 			}
 		}
@@ -777,8 +785,17 @@
 		}
 		return keys[a].attempt < keys[b].attempt
 	})
+	oldest := map[int]Time{}
+	for _, k := range keys {
+		if at, seen := oldest[k.job]; !seen || n.results[k].at < at {
+			oldest[k.job] = n.results[k].at
+		}
+	}
 	for _, k := range keys {
 		res := n.results[k]
+		if n.now-oldest[k.job] < resultPause {
+			continue
+		}
 		a := n.active(k, res.host)
 		if a == nil {
 			delete(n.results, k) // written
@@ -929,7 +946,7 @@
 		if a.Host != "" || !n.valid(n.parts[a.Part]) {
 			continue
 		}
-		s := slots.best(j, func(s *slot) bool { return s.part == a.Part })
+		s := slots.best(j, func(s *slot) bool { return s.part == a.Part }, nil)
 		k := taskKey{j.ix, a.Task, a.Attempt}
 		if s == nil && !n.outOfPatience(k) {
 			continue
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -344,13 +344,17 @@
 )
 
 // best chooses the machine for a task, or nil. What ok says of a slot must
-// hold for its whole class.
-func (x *slotSet) best(j *job, ok func(*slot) bool) *slot {
+// hold for its whole class, and so must what extra adds to its score.
+func (x *slotSet) best(j *job, ok func(*slot) bool, extra func(*slot) float64) *slot {
 	n, sp := x.n, j.rec.Spec
 	var found *slot
 	var foundScore float64
 	try := func(s *slot) {
-		if v := n.score(j, s); found == nil || v < foundScore {
+		v := n.score(j, s)
+		if extra != nil {
+			v += extra(s)
+		}
+		if found == nil || v < foundScore {
 			found, foundScore = s, v
 		}
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -15,6 +15,7 @@
 	within bool  // inside the team's guarantee, with the jobs before it
 	// What was found out for an earlier task of the job holds for the rest.
 	noRoom, noSoon, noHope bool
+	parts                  []int // its tasks by part, as planned so far
 }
 
 // teamQueue is the queue of one team.
@@ -130,7 +131,7 @@
 // jobs it did not come to.
 func (p *plan) serveQueues(qs []*teamQueue) int {
 	p.serveStarved(qs)
-	for !p.full {
+	for {
 		var pick *teamQueue
 		for _, q := range qs {
 			if len(q.wants) == 0 {
@@ -142,7 +143,7 @@
 			}
 		}
 		if pick == nil {
-			return 0
+			return p.left
 		}
 		w := pick.wants[0]
 		more := false
@@ -155,11 +156,6 @@
 			pick.wants = pick.wants[1:]
 		}
 	}
-	left := 0
-	for _, q := range qs {
-		left += len(q.wants)
-	}
-	return min(left, 50)
 }
 
 // record is the job's record with what this pass has added.
@@ -206,8 +202,19 @@
 	}
 	if w.zones == nil {
 		w.zones = p.n.zoneTasks(p.record(j))
+		w.parts = make([]int, len(p.n.parts))
+		for i := range j.rec.Active {
+			w.parts[j.rec.Active[i].Part]++
+		}
 	}
 	zones := w.zones
+	started := len(j.rec.Active) > 0 || p.w.recs[j.ix] != nil
+	near := func(s *slot) float64 {
+		if started && s.part >= 0 && w.parts[s.part] == 0 {
+			return newPart
+		}
+		return 0
+	}
 	// Tasks that only a machine still to come will take count in their zone
 	// too, else all would be planned for the same one.
 	took := func(s *slot) {
@@ -234,9 +241,13 @@
 	}
 	plain := !sp.Spread && !sp.SameZone
 	if !w.noRoom && !p.missed(j, reluctant) {
-		if s := p.up.best(j, ok); s != nil {
-			if !p.grant(j, w.tasks[:1], []*slot{s}) {
-				return false
+		if s := p.up.best(j, ok, near); s != nil {
+			// Without a put left the room is kept for it all the same: it is
+			// neither to be taken by what comes later, nor to go back as idle.
+			if p.grant(j, w.tasks[:1], []*slot{s}) {
+				w.parts[s.part]++
+			} else {
+				p.used[j.team].add(sp, 1)
 			}
 			s.fetching(j)
 			took(s)
@@ -266,7 +277,7 @@
 	}
 	var s *slot
 	if !w.noHope {
-		s = p.hope.best(j, ok)
+		s = p.hope.best(j, ok, nil)
 		w.noHope = s == nil && plain
 	}
 	if s == nil {
@@ -282,6 +293,10 @@
 	return true
 }
 
+// newPart is what it counts, in seconds, to spread a job over one more part:
+// each part's owner has to write the job's record, and writes are scarce.
+const newPart = 8
+
 // keepsOrdinary tells whether a task that may run on spot machines should
 // rather wait for one than break into an ordinary machine that nothing uses:
 // those are for whole-machine gangs and daemons, and cost several times more.
@@ -325,11 +340,12 @@
 		return
 	}
 	if chosen := p.gangSlots(w); chosen != nil {
-		if p.grant(j, w.tasks, chosen) {
-			for _, s := range chosen {
-				s.fetching(j)
-				s.take(sp)
-			}
+		if !p.grant(j, w.tasks, chosen) {
+			p.used[j.team].add(sp, float64(len(w.tasks)))
+		}
+		for _, s := range chosen {
+			s.fetching(j)
+			s.take(sp)
 		}
 		j.blockedSince = 0
 		return
@@ -408,7 +424,7 @@
 	for range w.tasks {
 		s := p.up.best(w.j, func(s *slot) bool {
 			return ok(s) && !(sp.Spread && zones[s.zone] >= zoneLimit(sp))
-		})
+		}, nil)
 		if s == nil {
 			break
 		}
@@ -661,7 +677,6 @@
 	for _, v := range victims {
 		rec := p.w.job(v.j)
 		if rec == nil {
-			p.full = true
 			return false
 		}
 		if v.j.rec.Spec.Shape == wire.ShapeGang {
