--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -201,7 +201,7 @@
 			// one is as good as lost: all it does ends with its lease.
 			v.lost = h.deaf || n.lost(h, min(silent, n.now-p.validSince), 2*fresh > all)
 			if v != h.info || h.infoTerm != p.rev {
-				h.info, h.infoTerm = v, p.rev
+				n.setInfo(h, v, p.rev)
 				n.note(h)
 				n.leader.dirty = true
 			}
@@ -209,6 +209,14 @@
 	}
 }
 
+// setInfo takes what the owner of a machine says of it.
+func (n *Node) setInfo(h *host, v view, term uint64) {
+	if v.unsure && (!h.info.unsure || h.infoTerm != term) {
+		h.unsureAt = n.now
+	}
+	h.info, h.infoTerm = v, term
+}
+
 func (n *Node) countImages(h *host) int {
 	c := 0
 	h.images.each(func(int) { c++ })
@@ -402,14 +410,15 @@
 		}
 		f := info.Flags
 		h.spot = f&wire.FlagSpot != 0
-		h.info = view{known: true, leaving: f&wire.FlagLeaving != 0, retiring: f&wire.FlagRetiring != 0, sick: f&wire.FlagSick != 0,
+		v := view{known: true, leaving: f&wire.FlagLeaving != 0, retiring: f&wire.FlagRetiring != 0, sick: f&wire.FlagSick != 0,
 			lost: f&wire.FlagLost != 0, unsure: f&wire.FlagUnsure != 0, quiet: f >> 8, errors: info.Errors}
-		h.infoTerm = n.parts[part].rev
+		term := n.parts[part].rev
 		for k, ix := range m.Parts {
 			if ix == part && k < len(m.Terms) {
-				h.infoTerm = m.Terms[k]
+				term = m.Terms[k]
 			}
 		}
+		n.setInfo(h, v, term)
 		h.retiring = h.info.retiring
 		if h.info.quiet == 0 {
 			h.bounceAt = 0 // it has reached its owner
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -316,12 +316,17 @@
 	}
 }
 
+// unsureFor is how long a machine that has not yet shown its owner's term may
+// be planned with. A new one shows it with its second report; what only a late
+// copy tells of, never.
+const unsureFor = 3 * second
+
 // leaderSlot is a machine that tasks may be granted to. Its owner's word is
 // used as long as it lasts; when the owner can be reached through the state
 // service only, what it said last has to do.
 func (n *Node) leaderSlot(h *host) *slot {
 	v := &h.info
-	if h.returned || !v.known || v.leaving || v.sick || v.lost || v.unsure || h.retiring {
+	if h.returned || !v.known || v.leaving || v.sick || v.lost || h.retiring || v.unsure && n.now-h.unsureAt > unsureFor {
 		return nil
 	}
 	p := n.parts[h.part]
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -446,8 +446,8 @@
 	at    Time
 }
 
-// resultPause is how long a result waits for others of the same job: one put
-// serves them all, and the tasks of a gang end together.
+// resultPause is how long a result waits for others of the same job when puts
+// are scarce: one put serves them all, and the tasks of a gang end together.
 const resultPause = 250 * 1e6
 
 const causeLost = "lost"
@@ -793,7 +793,7 @@
 	}
 	for _, k := range keys {
 		res := n.results[k]
-		if n.now-oldest[k.job] < resultPause {
+		if n.now-oldest[k.job] < Time(float64(resultPause)*n.scarcity()) {
 			continue
 		}
 		a := n.active(k, res.host)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -73,6 +73,7 @@
 	// As seen from anywhere.
 	info     view
 	infoTerm uint64 // the term in which it was told
+	unsureAt Time   // since when it is said to be unsure
 	ver      uint64 // of our own view, for the peers
 	returned bool
 
--- a/internal/core/purse.go
+++ b/internal/core/purse.go
@@ -11,8 +11,9 @@
 	at     Time
 	rate   float64
 	rateAt Time
-	need   int // records that wait to be written by us
-	leader int // of these, grants that the last pass of the leader found no put for
+	behind float64 // seconds that all controllers would take for what waits to be written
+	need   int     // records that wait to be written by us
+	leader int     // of these, grants that the last pass of the leader found no put for
 }
 
 // forBulk is the part of the puts that is shared by need.
@@ -29,7 +30,9 @@
 		p.need = n.countNeed()
 		p.rate = n.putRate()
 	}
-	p.left = min(p.left+p.rate*(n.now-p.at).Seconds(), float64(n.cfg.BatchPuts)+1)
+	// All together stay within the burst of a second that the service allows.
+	most := max(float64(n.cfg.BatchPuts), 1.5*n.cfg.WriteRPS/float64(len(n.cfg.Members))) + 1
+	p.left = min(p.left+p.rate*(n.now-p.at).Seconds(), most)
 	p.at = n.now
 	return int(p.left)
 }
@@ -48,9 +51,14 @@
 		}
 	}
 	all := n.cfg.WriteRPS * forBulk
+	n.puts.behind = (total - float64(len(n.cfg.Members))) / all
 	return max(all*mine/total, all/float64(3*len(n.cfg.Members)))
 }
 
+// scarcity goes from 0, when puts are to be had at once, to 1, when what waits
+// takes two seconds and more: then it pays to write less, at some delay.
+func (n *Node) scarcity() float64 { return min(1, n.puts.behind/2) }
+
 // countNeed counts the records that wait to be written by us: of tasks that
 // have ended, of grants to our parts, and of grants yet to be made.
 func (n *Node) countNeed() int {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -51,7 +51,7 @@
 		if n.now < j.notBefore {
 			continue
 		}
-		if j.unplaced > 0 && n.now-j.changed < placingTime {
+		if j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity()) {
 			continue
 		}
 		w := &want{j: j, within: j.within}
@@ -76,7 +76,8 @@
 }
 
 // placingTime is how long a job's owners have for placing what was granted
-// before more is granted to it: the record can't be written by both at once.
+// before more is granted to it, when puts are scarce: the record can't be
+// written by both at once.
 const placingTime = 700 * 1e6
 
 // rank puts urgent work first, and among equals work within a guarantee
@@ -208,10 +209,11 @@
 		}
 	}
 	zones := w.zones
+	scarce := p.n.scarcity()
 	started := len(j.rec.Active) > 0 || p.w.recs[j.ix] != nil
 	near := func(s *slot) float64 {
 		if started && s.part >= 0 && w.parts[s.part] == 0 {
-			return newPart
+			return newPart * scarce
 		}
 		return 0
 	}
@@ -293,8 +295,8 @@
 	return true
 }
 
-// newPart is what it counts, in seconds, to spread a job over one more part:
-// each part's owner has to write the job's record, and writes are scarce.
+// newPart is what it counts, in seconds, to spread a job over one more part
+// when puts are scarce: each part's owner has to write the job's record.
 const newPart = 8
 
 // keepsOrdinary tells whether a task that may run on spot machines should
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 		TxnOps:    d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
 		// A transaction needs as many of the puts allowed a second at once; a
 		// large one would wait behind every small one.
-		BatchPuts: max(2, int(d.State.WriteRPS/4)),
+		BatchPuts: max(2, int(1.5*d.State.WriteRPS/float64(len(s.Peers)+1))),
 		ListLag:   config.Seconds(d.Cloud.ListLagS),
 		CloudRPS:  d.Cloud.RPS, StateRPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
