--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -281,7 +281,9 @@
 	leadAt   Time
 	cloudBad Time // since when the cloud has not answered; 0: it does
 	resignAt Time
-	cutSince Time // since when we lead cut off; 0: we don't
+	ledUnder uint64 // the lease of our claim of leadership
+	resigned uint64 // the claim of leadership that we have given up
+	cutSince Time   // since when we lead cut off; 0: we don't
 	users    userState
 }
 
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -189,7 +189,7 @@
 				continue
 			}
 			silent := n.now - h.heard
-			v := view{known: true, leaving: h.leavingAt > 0, retiring: h.retiring, sick: h.sick, unsure: !h.token,
+			v := view{known: true, leaving: h.leavingAt > 0, retiring: h.retiring, sick: h.sick, unsure: !h.token && !h.newborn,
 				errors: len(h.errJobs), images: n.countImages(h)}
 			switch {
 			case silent > 3*n.cfg.Report:
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -68,7 +68,7 @@
 
 func (n *Node) leads() bool {
 	r := n.leader.rec
-	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life
+	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life && n.leader.rev != n.resigned
 }
 
 // claimLeader takes the leadership when nobody has it, or an earlier life of
@@ -91,6 +91,7 @@
 		}
 	}
 	n.leadAt = n.now + 500*1e6
+	n.ledUnder = n.leadLease.id
 	rev := l.rev
 	if l.rec == nil {
 		rev = 0
@@ -140,7 +141,14 @@
 		if n.now-p.at < 8*second && p.msg.StoreOK && !p.msg.CutOff {
 			n.resignAt = n.now + 10*second
 			n.log(1, "giving the leadership up: cut off")
-			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(Committed) {})
+			// From here on we don't lead, even if our watch hangs and never
+			// shows it; only a refusal says that we still do.
+			n.resigned = n.leader.rev
+			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(c Committed) {
+				if c.Outcome == Refused {
+					n.resigned = 0
+				}
+			})
 			return true
 		}
 	}
@@ -155,7 +163,8 @@
 	}
 	// Refused by the state service, we may have lost the lead without seeing
 	// it. Commits would fail, but the cloud would go on obeying us.
-	if n.now-n.leadLease.sent > n.leadLease.ttl {
+	// Nor does a new lease renew what was claimed under one that has ended.
+	if n.now-n.leadLease.sent > n.leadLease.ttl || n.leadLease.id != n.ledUnder {
 		return
 	}
 	n.cloudTick()
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -255,7 +255,12 @@
 	if h.term != p.rev {
 		h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
 		h.started = map[taskKey]uint64{}
+		// The first report of a machine's life, of which nobody has heard: it
+		// can't know any term yet.
+		h.newborn = r.Session == 1 && r.Seq <= 2 && r.Token == 0 && !h.info.known && len(h.on) == 0
 		n.ownInfoAt = 0
+	} else {
+		h.newborn = h.newborn && r.Session == 1 && r.Seq <= 2
 	}
 	if h.session != r.Session {
 		// Its lease ran out although we answered it a short while ago: our
@@ -346,7 +351,7 @@
 		}
 	}
 	if len(h.on) == 0 && len(r.Tasks) == 0 {
-		return h.token && h.reports <= 3 && n.usable(h)
+		return h.reports <= 3 && n.usable(h)
 	}
 	return n.pendingResults(h)
 }
@@ -632,7 +637,7 @@
 		return false
 	}
 	p := n.parts[h.part]
-	return h.term == p.rev && h.token && h.ignored == 0 && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
+	return h.term == p.rev && (h.token || h.newborn) && h.ignored == 0 && n.now-h.heard < 3*n.cfg.Report && h.leavingAt == 0 &&
 		!h.sick && !h.retiring && !h.returned && n.now >= h.fullUntil
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -56,6 +56,7 @@
 	session, seq uint64
 	reports      int  // heard in this term
 	token        bool // it has shown that it knows our term
+	newborn      bool // it has only just come to life
 	heard        Time // last report in this term
 	answered     Time // last report answered with 200
 	ignored      int  // answers in a row that had no effect
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -102,7 +102,7 @@
 // first: smaller and more urgent work that arrives all the time would else
 // take every machine that becomes free, and two gangs would each keep room
 // that the other needs.
-const gangPatience = 75 * second
+const gangPatience = 100 * second
 
 // serveStarved lets the gang that has waited longest beyond its patience
 // gather room.
@@ -336,7 +336,7 @@
 		// Its team's smaller jobs would take what becomes free of the limit
 		// for ever: after its patience the limit is kept for it.
 		p.blocked(j)
-		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience/2 {
+		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience {
 			p.used[j.team].add(sp, float64(len(w.tasks)))
 		}
 		return
