Longer validity, fresher proofs, lost tasks placed anew by their owner, pressing puts first

Cause: in a zone cut of a minute all tasks inside died a few seconds too early, and then a grant, a placing and an end for each of 450 tasks took a minute of puts.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -153,15 +153,17 @@
 func Margin(d time.Duration) time.Duration { return d/1000 + time.Second }
 
 // Validity is how long an owner may act on its last proven renewal. After a
-// withdrawal that the owner can't hear of, its workers' leases end at the
-// latest a worker lease after this, which must stay below cancel_s. It also
-// stays below the worker lease, so that a peer can take over before the tasks
-// of an owner that vanished are lost.
+// withdrawal that the owner can't hear of, the last report that it answers was
+// sent before this has passed, and a worker lease later its tasks are gone,
+// which must stay below cancel_s. Within that it is as long as can be: a zone
+// that is cut off with its controller keeps its tasks for validity and a lease.
+// It also stays below the worker lease, so that a peer that waits for an
+// owner's claim to end is not too late for the tasks.
 func (s *Settings) Validity() time.Duration {
 	w := s.Deployment.Workers
 	lease, cancel := Seconds(w.LeaseS), Seconds(w.CancelS)
-	room := cancel - lease - Margin(lease) - Seconds(w.ReportS)
-	return min(room, lease*3/4)
+	room := cancel - lease - Margin(lease) - 250*time.Millisecond
+	return min(room, lease-Margin(lease)-time.Second)
 }
 
 // Seconds turns a decimal number of seconds into a duration.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -440,6 +440,17 @@
 	}
 }
 
+// proofPause is how often an owner renews and proves what it holds. The older
+// the last proof when it is cut off, the sooner its workers lose their tasks.
+// All controllers together may spend a tenth of the requests on it.
+func (n *Node) proofPause() Time {
+	if n.cfg.StateRPS <= 0 {
+		return time.Second
+	}
+	each := Time(float64(2*len(n.cfg.Members)) / (n.cfg.StateRPS / 10) * float64(time.Second))
+	return max(time.Second, min(each, 3*time.Second))
+}
+
 // renew keeps both leases alive and makes new ones when they have ended.
 func (n *Node) renew() {
 	for _, l := range []*lease{&n.partLease, &n.leadLease} {
@@ -467,7 +478,7 @@
 					l.id = r.Lease
 				}
 				l.sent = sent
-				l.next = sent + min(l.ttl/4, 3*time.Second)
+				l.next = sent + min(l.ttl/4, n.proofPause())
 			case Missing:
 				l.id, l.next = 0, n.now
 			}
@@ -505,6 +516,9 @@
 	for _, e := range c.Events {
 		n.change(e)
 	}
+	if !c.Reset {
+		n.sawPuts(len(c.Events))
+	}
 	n.loaded = n.loaded || c.Reset
 	n.rev = max(n.rev, c.Rev)
 	n.leader.dirty = true
@@ -586,6 +600,7 @@
 			return
 		}
 		b.waiting = false
+		n.log(0, "wrote", "role", b.name, "puts", len(b.writes), "outcome", int(c.Outcome))
 		switch c.Outcome {
 		case OK:
 			if b.onOK != nil {
@@ -660,7 +675,7 @@
 	if n.now < n.checkAt {
 		return
 	}
-	n.checkAt = n.now + min(n.cfg.Validity/8, 2*time.Second)
+	n.checkAt = n.now + min(n.cfg.Validity/8, n.proofPause())
 	var conds []Cond
 	held := map[int]uint64{}
 	for i, p := range n.parts {
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -453,7 +453,7 @@
 
 // resultPause is how long a result waits for others of the same job when puts
 // are scarce: one put serves them all, and the tasks of a gang end together.
-const resultPause = 250 * 1e6
+const resultPause = 500 * 1e6
 
 const causeLost = "lost"
 
@@ -662,10 +662,12 @@
 		return
 	}
 	w := newWriter(n)
-	n.applyResults(w)
+	var room ownRoom
+	n.applyResults(w, &room, true)
 	n.applyStops(w)
-	n.placeGranted(w)
 	n.settleGangs(w)
+	n.placeGranted(w, &room)
+	n.applyResults(w, &room, false)
 	w.send(&n.owner, nil)
 }
 
@@ -722,11 +724,12 @@
 	conds []Cond
 	bytes int
 	limit int // puts
+	ended map[taskKey]bool
 }
 
 func newWriter(n *Node) *writer {
 	limit := min(n.cfg.TxnOps-1, n.cfg.BatchPuts, n.mayPut())
-	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, limit: limit}
+	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, ended: map[taskKey]bool{}, limit: limit}
 }
 
 // job gives a copy of the record to change, or nil when the commit is full.
@@ -776,7 +779,20 @@
 	b.start(w.n, conds, writes, w.extra, onOK)
 }
 
-func (n *Node) applyResults(w *writer) {
+// pressing tells whether others wait for the end of a task to be written: a
+// daemon or gang that is to start anew, a user who waits for the end of a job.
+// The end of one task of an array among others can wait behind placings; by
+// the time its turn comes, one put often serves several.
+func (n *Node) pressing(k taskKey, res result) bool {
+	j := n.jobs[k.job]
+	if j.rec == nil || j.rec.State != wire.Live {
+		return false
+	}
+	return j.rec.Spec.Shape != wire.ShapeArray || res.cause != wire.CauseDone || len(j.rec.Active) == 1
+}
+
+// applyResults writes what became of tasks, either what presses or the rest.
+func (n *Node) applyResults(w *writer, room *ownRoom, pressing bool) {
 	keys := make([]taskKey, 0, len(n.results))
 	for k := range n.results {
 		keys = append(keys, k)
@@ -798,6 +814,9 @@
 	}
 	for _, k := range keys {
 		res := n.results[k]
+		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil {
+			continue
+		}
 		if n.now-oldest[k.job] < Time(float64(resultPause)*n.scarcity()) {
 			continue
 		}
@@ -814,9 +833,34 @@
 		if rec == nil {
 			return
 		}
+		// Once: an end that is applied twice would count an error twice and
+		// put two tasks where one was.
+		w.ended[k] = true
 		w.parts[a.Part] = true
+		was := *a
 		finish(rec, k, res)
+		n.placeAnew(rec, was, res, room)
+	}
+}
+
+// placeAnew gives a task that its machine has lost another machine of the same
+// part: the grant stands, only the choice of the machine is the owner's. It
+// saves two puts, and when a whole zone has lost its tasks that is most of the
+// time it takes to have them back.
+func (n *Node) placeAnew(rec *wire.Job, was wire.Active, res result, room *ownRoom) {
+	if rec.State != wire.Live || rec.Spec.Shape == wire.ShapeGang || was.Stop != wire.Keep ||
+		res.cause != causeLost && res.cause != wire.CauseHalted {
+		return
 	}
+	j := n.jobNamed(rec.Spec.Ref)
+	s := room.slots(n).best(j, func(s *slot) bool { return s.part == was.Part }, nil)
+	if s == nil || s.h.name == was.Host {
+		return
+	}
+	s.take(rec.Spec)
+	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: rec.Next, Part: was.Part, Host: s.h.name, Session: s.h.session})
+	rec.Next++
+	n.log(0, "placed anew", "job", j.ref, "task", was.Task, "host", s.h.name)
 }
 
 // finish takes a task that is gone out of its record.
@@ -893,6 +937,16 @@
 	}
 }
 
+// ownRoom is the room on our machines, worked out when it is first needed.
+type ownRoom struct{ set *slotSet }
+
+func (r *ownRoom) slots(n *Node) *slotSet {
+	if r.set == nil {
+		r.set = n.ownSlots()
+	}
+	return r.set
+}
+
 // ownSlots lists the room on the machines that we own, less what is held.
 func (n *Node) ownSlots() *slotSet {
 	slots := newSlotSet(n)
@@ -914,8 +968,7 @@
 }
 
 // placeGranted chooses machines for the tasks granted to our parts.
-func (n *Node) placeGranted(w *writer) {
-	var slots *slotSet
+func (n *Node) placeGranted(w *writer, room *ownRoom) {
 	for _, jx := range n.live {
 		j := n.jobs[jx]
 		if j.unplaced == 0 || !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
@@ -923,10 +976,7 @@
 		}) {
 			continue
 		}
-		if slots == nil {
-			slots = n.ownSlots()
-		}
-		n.placeJob(w, j, slots)
+		n.placeJob(w, j, room.slots(n))
 	}
 }
 
--- a/internal/core/purse.go
+++ b/internal/core/purse.go
@@ -1,7 +1,7 @@
 package core
 
 // purse is what we may still put into the state service now. The service
-// allows few puts, for all controllers together; a fifth is left for what
+// allows few puts, for all controllers together; a tenth is left for what
 // can't wait, which are claims, submissions and withdrawals. The rest is
 // shared by need: each controller tells how many records it has to write, and
 // takes the share that this gives it. What is decided is thus written at once,
@@ -12,12 +12,15 @@
 	rate   float64
 	rateAt Time
 	behind float64 // seconds that all controllers would take for what waits to be written
+	seen   float64 // puts that our watch has shown since usedAt
+	usedAt Time
+	used   float64 // puts a second by all, over the last while
 	need   int     // records that wait to be written by us
 	leader int     // of these, grants that the last pass of the leader found no put for
 }
 
 // forBulk is the part of the puts that is shared by need.
-const forBulk = 0.8
+const forBulk = 0.9
 
 // mayPut is how many puts we may send now.
 func (n *Node) mayPut() int {
@@ -56,15 +59,33 @@
 }
 
 // scarcity goes from 0, when puts are to be had at once, to 1, when what waits
-// takes two seconds and more: then it pays to write less, at some delay.
-func (n *Node) scarcity() float64 { return min(1, n.puts.behind/2) }
+// takes two seconds and more or when well over half of all puts are in use:
+// then it pays to write less, at some delay.
+func (n *Node) scarcity() float64 {
+	if n.cfg.WriteRPS <= 0 {
+		return 0
+	}
+	return max(0, min(1, max(n.puts.behind/2, (n.puts.used/n.cfg.WriteRPS-0.25)*3)))
+}
+
+// sawPuts counts what the watch shows.
+func (n *Node) sawPuts(k int) {
+	p := &n.puts
+	p.seen += float64(k)
+	if d := (n.now - p.usedAt).Seconds(); d >= 2 {
+		p.used += (p.seen/d - p.used) * min(1, d/8)
+		p.seen, p.usedAt = 0, n.now
+	}
+}
 
 // countNeed counts the records that wait to be written by us: of tasks that
 // have ended, of grants to our parts, and of grants yet to be made.
 func (n *Node) countNeed() int {
 	seen := map[int]bool{}
-	for k := range n.results {
-		seen[k.job] = true
+	for k, res := range n.results {
+		if n.pressing(k, res) {
+			seen[k.job] = true
+		}
 	}
 	for _, jx := range n.live {
 		j := n.jobs[jx]
@@ -78,8 +99,9 @@
 			}
 		}
 	}
+	need := len(seen) + len(n.results)/4
 	if n.leads() {
-		return len(seen) + n.puts.leader
+		need += n.puts.leader
 	}
-	return len(seen)
+	return need
 }
