--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -290,7 +290,19 @@
 	n.hopedFor(p)
 	idle := p.idleSlots()
 	left := p.serveQueues(n.queues())
-	n.log(0, "room", "up", len(p.up.all), "idle", len(idle), "coming", len(p.hope.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
+	idleSpot, spot, half := 0, 0, 0
+	for _, s := range p.up.all {
+		switch {
+		case s.spot && idle[s]:
+			idleSpot++
+		case !idle[s] && s.cards >= 1:
+			half++
+		}
+		if s.spot {
+			spot++
+		}
+	}
+	n.log(0, "room", "up", len(p.up.all), "spot", spot, "idle", len(idle), "idle_spot", idleSpot, "partly_free", half, "coming", len(p.hope.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
 	n.hireAndReturn(p, idle)
 	return left
 }
