Void findings of an ended term; keep room ready for classes that are to start at once

Findings now carry their term.

Reserve: gangs that find no free machine wait for a boot, which the aims don't leave time for.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -161,7 +161,11 @@
 // owner's claim to end is not too late for the tasks.
 func (s *Settings) Validity() time.Duration {
 	w := s.Deployment.Workers
-	lease, cancel := Seconds(w.LeaseS), Seconds(w.CancelS)
+	return Validity(Seconds(w.LeaseS), Seconds(w.CancelS))
+}
+
+// Validity is that of Settings, from the two durations that it rests on.
+func Validity(lease, cancel time.Duration) time.Duration {
 	room := cancel - lease - Margin(lease) - 250*time.Millisecond
 	return min(room, lease-Margin(lease)-time.Second)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	CloudRPS                float64
 	StateRPS, WriteRPS      float64 // 0: no limit
 
+	Waits       []Objective // classes that are to start soon after they come
 	IdleReturn  Time
 	Spares      int
 	MaxMachines int
@@ -263,6 +264,7 @@
 	heldAt     Time
 	usersAt    Time
 	puts       purse
+	arrivals   []*arrivals
 	work       uint64 // machines looked at so far
 	roomAt     Time
 	imagesAt   Time
@@ -328,6 +330,14 @@
 		n.teams.Of(cfg.Teams[i].Name)
 	}
 	n.makeParts()
+	for _, o := range cfg.Waits {
+		at := slices.IndexFunc(n.arrivals, func(a *arrivals) bool { return a.class == o.Class })
+		if at < 0 {
+			n.arrivals = append(n.arrivals, &arrivals{class: o.Class, within: o.Within})
+		} else {
+			n.arrivals[at].within = min(n.arrivals[at].within, o.Within)
+		}
+	}
 	n.leader.reset()
 	n.owner.name = "owner"
 	return n
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -65,6 +65,9 @@
 	}
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
+		if n.loaded {
+			n.noteArrival(j)
+		}
 	}
 	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
 		// A job that fails everywhere waits longer each time.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -290,6 +290,7 @@
 	n.hopedFor(p)
 	idle := p.idleSlots()
 	left := p.serveQueues(n.queues())
+	p.keepReserve()
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
 		switch {
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -85,6 +85,7 @@
 	// What machines did under the last owner says nothing about this one.
 	// Kept, it made two peers take the part from each other in turns.
 	p.forgetBounces()
+	n.voidResults(p)
 	if rec != nil && rec.Owner == n.cfg.Self && rec.Life == n.cfg.Life {
 		// An owner whose key went with its lease had stopped before, and an
 		// earlier life of ours is dead. One that we took over by a new claim
@@ -100,6 +101,18 @@
 	}
 }
 
+// voidResults drops what was found out about the tasks of a part in a term
+// that has ended and could not be written in it. Another owner may have served
+// the machines since; applied in a later term, it would put tasks on a second
+// machine that have run on all the while.
+func (n *Node) voidResults(p *part) {
+	for k, res := range n.results {
+		if a := n.active(k, res.host); a == nil || a.Part == p.ix {
+			delete(n.results, k)
+		}
+	}
+}
+
 func (p *part) forgetBounces() {
 	for _, h := range p.hosts {
 		h.redirectAt, h.bounceAt = 0, 0
@@ -449,8 +462,12 @@
 	host  string
 	cause string // an exit cause, or "lost"
 	at    Time
+	term  uint64 // in which it was found out
 }
 
+// termOf is the term of the part that the machine belongs to.
+func (h *host) termOf(n *Node) uint64 { return n.parts[h.part].rev }
+
 // resultPause is how long a result waits for others of the same job when puts
 // are scarce: one put serves them all, and the tasks of a gang end together.
 const resultPause = 500 * 1e6
@@ -518,16 +535,16 @@
 		missed = missed || sent && gone
 		switch {
 		case r.Session > x.session:
-			n.results[k] = result{h.name, causeLost, n.now}
+			n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
 		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
 			if gone {
-				n.results[k] = result{h.name, causeLost, n.now}
+				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
 			}
 		case gone && sent && h.ignored >= deafAfter-1:
 			// It goes on reporting and does not do what it is told. The
 			// report is newer than the answer that ordered the start and
 			// lacks it; from here on it is not ordered again.
-			n.results[k] = result{h.name, causeLost, n.now}
+			n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
 		case n.holdBack(j, n.active(k, h.name)):
 		default:
 			orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, k.task), Attempt: k.attempt})
@@ -606,7 +623,7 @@
 	if _, known := n.results[k]; known {
 		return
 	}
-	n.results[k] = result{h.name, t.Cause, n.now}
+	n.results[k] = result{h.name, t.Cause, n.now, h.termOf(n)}
 	j := n.jobs[k.job]
 	switch t.Cause {
 	case wire.CauseDone:
@@ -688,7 +705,7 @@
 		for i := range h.on {
 			k := h.on[i].taskKey
 			if _, known := n.results[k]; !known && h.on[i].part == p.ix {
-				n.results[k] = result{h.name, causeLost, n.now}
+				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
 				n.log(1, "task lost with its machine", "job", n.jobs[k.job].ref, "task", k.task, "host", h.name)
 			}
 		}
@@ -825,7 +842,7 @@
 			delete(n.results, k) // written
 			continue
 		}
-		if !n.valid(n.parts[a.Part]) {
+		if !n.valid(n.parts[a.Part]) || n.parts[a.Part].rev != res.term {
 			delete(n.results, k)
 			continue
 		}
--- /dev/null
+++ b/internal/core/reserve.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"math"
+	"slices"
+)
+
+// Objective is an aim of the users for a class: its tasks start within a time.
+type Objective struct {
+	Class  string
+	Within Time
+}
+
+// arrivals is what has come of a class lately, while machines were up.
+type arrivals struct {
+	class  string
+	within Time
+	sample *job // the newest
+	list   []arrival
+}
+
+type arrival struct {
+	at     Time
+	frames int
+}
+
+// arrivalWindow is how far back arrivals are counted.
+const arrivalWindow = 150 * second
+
+// noteArrival counts a new job of a class that is to start at once. What comes
+// while nothing is up yet is a backlog and says nothing about the rate.
+func (n *Node) noteArrival(j *job) {
+	if !n.leads() || n.now-n.leader.since < 5*second || !n.anyUp() {
+		return
+	}
+	for _, a := range n.arrivals {
+		if a.class == j.rec.Spec.Class {
+			a.sample = j
+			a.list = append(a.list, arrival{n.now, min(j.rec.Frames, n.activeLimit())})
+		}
+	}
+}
+
+func (n *Node) anyUp() bool {
+	for _, p := range n.parts {
+		if len(p.hosts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve is how many tasks of a class will probably come while a machine
+// boots, and half a standard deviation more, as jobs come by chance and in
+// different sizes. lead is how long a machine takes.
+func (a *arrivals) reserve(now, since, lead Time) int {
+	a.list = slices.DeleteFunc(a.list, func(x arrival) bool { return now-x.at > arrivalWindow })
+	sum, squares := 0.0, 0.0
+	for _, x := range a.list {
+		sum += float64(x.frames)
+		squares += float64(x.frames) * float64(x.frames)
+	}
+	window := max(60*second, min(arrivalWindow, now-since))
+	part := lead.Seconds() / window.Seconds()
+	return int(math.Round(sum*part + math.Sqrt(squares*part)/2))
+}
+
+// keepReserve plans room for what will come before a machine hired then could
+// be up: idle machines that it uses don't go back, and what is missing is
+// hired. It comes last and grants nothing, so any real task can have the room.
+func (p *plan) keepReserve() {
+	n := p.n
+	for _, a := range n.arrivals {
+		j := n.sampleOf(a)
+		if j == nil {
+			continue
+		}
+		lead := n.lead(j)
+		// Where an image alone takes longer, a machine that is up is no help;
+		// where a boot is quick enough, there is no need of one.
+		if lead == 0 || lead+n.imageTime(j) < a.within {
+			continue
+		}
+		for range a.reserve(n.now, n.leader.since, lead) {
+			s := p.up.best(j, nil, nil)
+			if s == nil {
+				s = p.hope.best(j, nil, nil)
+			}
+			if s == nil {
+				s = p.hireFor(&want{j: j}, func(*slot) bool { return true })
+			}
+			if s == nil {
+				break
+			}
+			s.take(j.rec.Spec)
+		}
+	}
+}
+
+// sampleOf is the newest job of the class that still has its specification, or
+// nil: a finished record has dropped it.
+func (n *Node) sampleOf(a *arrivals) *job {
+	usable := func(j *job) bool { return j != nil && j.rec != nil && j.rec.Spec != nil && j.team >= 0 }
+	if !usable(a.sample) {
+		a.sample = nil
+		for _, jx := range n.live {
+			if j := n.jobs[jx]; usable(j) && j.rec.Spec.Class == a.class {
+				a.sample = j
+			}
+		}
+	}
+	return a.sample
+}
+
+// lead is how long it takes from the wish for a machine until it reports, in
+// most cases; 0 if no type fits.
+func (n *Node) lead(j *job) Time {
+	best := 0.0
+	for ix, r := range n.flavors {
+		if r != nil && (j.any || j.rigs.has(ix)) && fitsRig(j.rec.Spec, r) && (best == 0 || r.BootS < best) {
+			best = r.BootS
+		}
+	}
+	return Time(best * 1.3 * float64(second))
+}
+
+// imageTime is how long a job's image takes at the nominal rate.
+func (n *Node) imageTime(j *job) Time {
+	rate := 0.0
+	for ix, r := range n.flavors {
+		if r != nil && (j.any || j.rigs.has(ix)) {
+			rate = max(rate, r.FetchGBs)
+		}
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return Time(j.rec.Spec.ImageGB / rate * float64(second))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,11 @@
 	for _, p := range s.Peers {
 		c.Members = append(c.Members, core.Member{Label: p.Label, Zone: p.Zone})
 	}
+	for _, o := range d.Objectives {
+		if o.Kind == "wait" {
+			c.Waits = append(c.Waits, core.Objective{Class: o.Class, Within: config.Seconds(o.WithinS)})
+		}
+	}
 	for _, t := range d.Teams {
 		c.Teams = append(c.Teams, core.Team{Name: t.Name, Cores: t.Cores, Cards: t.Cards, CoresMax: t.CoresMax, CardsMax: t.CardsMax})
 	}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -74,6 +74,12 @@
 			s.Capacity = int(num())
 		case "boot_s":
 			s.Boot = secs(num())
+		case "report_s":
+			s.Report = secs(num())
+		case "lease_s":
+			s.Lease = secs(num())
+		case "cancel_s":
+			s.Cancel = secs(num())
 		case "idle_s":
 			s.Idle = secs(num())
 		case "txn_ops":
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -12,6 +12,7 @@
 	"sort"
 	"time"
 
+	"micaport/internal/config"
 	"micaport/internal/core"
 	"micaport/internal/wire"
 )
@@ -27,7 +28,6 @@
 	GangWait   time.Duration
 	GangPeer   time.Duration
 	Cancel     time.Duration
-	Validity   time.Duration
 	Boot       time.Duration
 	Capacity   int // machines of each kind in each zone
 	TxnOps     int
@@ -43,7 +43,7 @@
 			{Name: "red", Cards: 4, CardsMax: 8}, {Name: "blue", Cards: 4, CardsMax: 8}, {Name: "wide", CardsMax: 1000},
 		},
 		Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 35 * time.Second,
-		GangPeer: 8 * time.Second, Cancel: 55 * time.Second, Validity: 20 * time.Second,
+		GangPeer: 8 * time.Second, Cancel: 55 * time.Second,
 		Boot: 10 * time.Second, Capacity: 6, TxnOps: 12, ValueBytes: 8 << 10, Idle: 40 * time.Second,
 	}
 }
@@ -212,7 +212,7 @@
 	cfg := core.Config{
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
 		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait,
-		Validity: w.Validity, LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
+		Validity: config.Validity(w.Lease, w.Cancel), LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
 		ListLag: 4 * time.Second, BatchPuts: 12, CloudRPS: 2, StateRPS: 250, IdleReturn: w.Idle, Spares: 1, Preempt: true,
 		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
