--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -225,15 +225,16 @@
 	pending map[uint64]func(any)
 
 	// Copy of the records.
-	loaded bool
-	rev    uint64
-	jobs   []*job
-	refs   wire.Interner
-	live   []int // jobs that are unfinished or still have tasks on machines
-	gangs  map[string]*gang
-	types  []wire.Flavor
-	rigsAt Time
-	rigRev uint64
+	loaded   bool
+	rev      uint64
+	jobs     []*job
+	refs     wire.Interner
+	finished map[[2]int]*wire.Job
+	live     []int // jobs that are unfinished or still have tasks on machines
+	gangs    map[string]*gang
+	types    []wire.Flavor
+	rigsAt   Time
+	rigRev   uint64
 
 	// Names are mapped to indices where they come in.
 	zones, teams, rigs wire.Interner
@@ -318,7 +319,7 @@
 	n := &Node{
 		cfg:     cfg,
 		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, peers: map[string]*peer{},
-		results: map[taskKey]result{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
+		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
 	}
 	n.partLease.ttl = cfg.Validity
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -309,13 +309,14 @@
 }
 
 // lost tells whether a silent machine is dead or hangs, rather than cut from
-// us: its neighbours still report, or it has not turned to any peer either.
+// us or deaf for a moment: it has not turned to any peer, and its neighbours
+// still report or it has had the time to try one.
 func (n *Node) lost(h *host, silent Time, neighbours bool) bool {
 	if silent < 3*n.cfg.Report+second {
 		return false
 	}
-	if neighbours {
-		return true
+	if silent > n.cfg.Lease+5*second {
+		return true // wherever it reports, nobody could answer it
 	}
 	heard := false
 	for _, m := range n.cfg.Members {
@@ -330,7 +331,7 @@
 	}
 	// A worker that can't reach us has tried a peer by now: a report, its
 	// patience of 4 s, a pause, and the peer's next message.
-	return heard && silent > 2*n.cfg.Report+7*second
+	return neighbours || heard && silent > 2*n.cfg.Report+7*second
 }
 
 // fetchGB sums the images that a machine is fetching, or about to.
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -22,6 +22,7 @@
 	hires    []*hiring
 	booting  map[string]*bootingHost
 	backoff  map[pool]Time
+	short    map[pool]Time // when it last had fewer machines than were asked for
 	retiring map[string]bool
 	idleFrom map[string]Time
 
@@ -50,7 +51,7 @@
 
 func newCloudState() cloudState {
 	return cloudState{
-		booting: map[string]*bootingHost{}, backoff: map[pool]Time{}, retiring: map[string]bool{},
+		booting: map[string]*bootingHost{}, backoff: map[pool]Time{}, short: map[pool]Time{}, retiring: map[string]bool{},
 		idleFrom: map[string]Time{}, stray: map[string]Time{},
 	}
 }
@@ -152,11 +153,11 @@
 			c.booting[name] = &bootingHost{pool: h.pool, since: n.now}
 		}
 		if len(r.Hosts) < h.req.Count {
-			c.backoff[h.pool] = n.now + noCapacityPause
+			c.backoff[h.pool], c.short[h.pool] = n.now+noCapacityPause, n.now
 		}
 		n.log(1, "hired", "rig", h.req.Rig, "zone", h.req.Zone, "spot", h.req.Spot, "wanted", h.req.Count, "got", len(r.Hosts))
 	case Full:
-		c.backoff[h.pool] = n.now + noCapacityPause
+		c.backoff[h.pool], c.short[h.pool] = n.now+noCapacityPause, n.now
 	case Refused:
 		c.backoff[h.pool] = n.now + 2*second
 	default:
@@ -316,15 +317,22 @@
 
 func (p *plan) open(x pool) bool { return p.n.now >= p.n.leader.cloud.backoff[x] }
 
+// canHire tells whether machines for a job can be had. A pool that had none a
+// while ago is asked again and again, but not counted on: in the moment of each
+// try the room that is being gathered on machines in use would be let go.
 func (p *plan) canHire(j *job, zone int) bool {
 	for _, x := range p.pools(j) {
-		if (zone < 0 || x.zone == zone) && p.open(x.pool) {
+		at, short := p.n.leader.cloud.short[x.pool]
+		if (zone < 0 || x.zone == zone) && p.open(x.pool) && !(short && p.n.now-at < shortFor) {
 			return true
 		}
 	}
 	return false
 }
 
+// shortFor is how long a pool without machines is not counted on.
+const shortFor = 60 * second
+
 // hireFor adds a machine to be hired for a task, if there may be one.
 func (p *plan) hireFor(w *want, ok func(*slot) bool) *slot {
 	n := p.n
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -58,7 +58,10 @@
 	if j.rec != nil {
 		n.unindex(j)
 	}
-	j.rec, j.rev, j.changed, j.pendKnown = rec, rev, n.now, false
+	if rec != nil && rec.State != wire.Live && len(rec.Active) == 0 && len(rec.DoneSet) == 0 {
+		rec = n.sameFinished(rec)
+	}
+	j.rec, j.rev, j.changed, j.pendKnown, j.pend = rec, rev, n.now, false, nil
 	if rec == nil {
 		n.setLive(j, false)
 		return
@@ -84,6 +87,17 @@
 	n.setLive(j, rec.State == wire.Live || len(rec.Active) > 0)
 }
 
+// sameFinished gives one record for all finished jobs that have nothing left to
+// tell them apart: they are kept for ever, and there are very many.
+func (n *Node) sameFinished(rec *wire.Job) *wire.Job {
+	key := [2]int{rec.State, rec.Frames}
+	if have := n.finished[key]; have != nil {
+		return have
+	}
+	n.finished[key] = &wire.Job{State: rec.State, Frames: rec.Frames}
+	return n.finished[key]
+}
+
 // describe maps the names in a specification to indices.
 func (n *Node) describe(j *job, sp *wire.Spec) {
 	j.image = n.images.Of(sp.Image)
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -257,7 +257,13 @@
 	n.setPart(h, pi)
 	h.rig, h.spot = n.rigs.Of(r.Rig), r.Spot
 	if !n.loaded || !n.valid(p) || r.Token > p.rev {
-		n.redirect(in.Req, p, h)
+		// A copy of what we have seen before tells nothing of where the
+		// machine is now.
+		late := h.strayShift > r.Session || h.strayShift == r.Session && h.strayTick >= r.Seq
+		if !late {
+			h.strayShift, h.strayTick = r.Session, r.Seq
+		}
+		n.redirect(in.Req, p, h, late)
 		return
 	}
 	if h.session > r.Session || h.session == r.Session && h.seq >= r.Seq {
@@ -389,7 +395,7 @@
 	n.held = slices.DeleteFunc(n.held, func(q heldReport) bool {
 		p, h := q.part, q.host
 		if p.rev != q.term || !n.valid(p) || h.session != q.Report.Session || h.seq != q.Report.Seq {
-			n.redirect(q.Req, p, h)
+			n.redirect(q.Req, p, h, false)
 			return true
 		}
 		if n.now < q.until && (n.pendingResults(h) || !n.startsWaiting(h)) {
@@ -410,20 +416,22 @@
 	return false
 }
 
-func (n *Node) redirect(req uint64, p *part, h *host) {
+func (n *Node) redirect(req uint64, p *part, h *host, late bool) {
 	if n.loaded && p.rec != nil && p.rec.Owner != n.cfg.Self {
 		// It was sent to its owner and is back, or its owner has told us that
 		// it hears nothing from it: it can't reach its owner.
 		back := n.now - h.redirectAt
 		bounced := h.redirectAt > 0 && back > second*7/10 && back < 15*second
 		unheard := n.toldUnheard(p, h)
-		if n.storeOK && (bounced || unheard) {
+		if n.storeOK && !late && (bounced || unheard) && !n.toldHeard(p, h) {
 			if h.bounceAt == 0 || n.now-h.bounceAt > 12*second {
 				h.bounceFrom = n.now
 			}
 			h.bounceAt = n.now
 		}
-		h.redirectAt = n.now
+		if !late {
+			h.redirectAt = n.now
+		}
 		if !h.straying {
 			h.straying = true
 			n.strayed = append(n.strayed, h.ix)
@@ -434,6 +442,21 @@
 	n.emit(Reply{Req: req, Status: 503, Body: wire.Error{Error: "no owner"}})
 }
 
+// toldHeard tells whether an owner that can be heard says that it hears a
+// machine: then what comes here in its name is a late copy, or the machine is
+// deaf to the answers. When copies counted, two controllers took parts from
+// each other for as long as they came.
+func (n *Node) toldHeard(p *part, h *host) bool {
+	owner := n.peers[p.rec.Owner]
+	if owner == nil || n.now-owner.at > 3*second {
+		return false
+	}
+	if h.infoTerm != p.rev {
+		return n.now-p.changed < 3*n.cfg.Report // it has not had the time to hear it
+	}
+	return h.info.quiet == 0
+}
+
 // toldUnheard tells whether an owner that has been up for a while says that it
 // hears nothing of a machine. One that has just come back does not know of it
 // yet, which proves nothing.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -78,8 +78,9 @@
 	ver      uint64 // of our own view, for the peers
 	returned bool
 
-	redirectAt, bounceAt, bounceFrom Time // see redirect
-	straying                         bool // listed among those that came here
+	redirectAt, bounceAt, bounceFrom Time   // see redirect
+	straying                         bool   // listed among those that came here
+	strayShift, strayTick            uint64 // the newest of its reports that came here
 }
 
 // view is what the owner of a machine tells of it.
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -102,7 +102,7 @@
 // first: smaller and more urgent work that arrives all the time would else
 // take every machine that becomes free, and two gangs would each keep room
 // that the other needs.
-const gangPatience = 100 * second
+const gangPatience = 75 * second
 
 // serveStarved lets the gang that has waited longest beyond its patience
 // gather room.
--- /dev/null
+++ b/internal/core/size_test.go
@@ -0,0 +1,46 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"micaport/internal/wire"
+)
+
+// A finished job is kept for ever, as its user may ask again at any time. A
+// hundred thousand of them must leave a controller of 125 MB most of its
+// memory; each once kept its whole record.
+func TestFinishedJobsStaySmall(t *testing.T) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	n := New(Config{Self: "n0", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, TxnOps: 12, ValueBytes: 8192,
+		WallMS: func() int64 { return 0 }})
+	n.Step(second, Changes{Reset: true, Rev: 1})
+	const jobs = 100_000
+	before := heap()
+	for i := range jobs {
+		ref := fmt.Sprintf("wk-%06d", i)
+		spec := &wire.Spec{Ref: ref, Class: "c", Team: "t", Shape: wire.ShapeArray, Frames: 3, Image: "img", Rigs: []string{"g2"}}
+		n.Step(second, Changes{Rev: uint64(2*i + 2), Events: []Event{{Key: wire.JobKey(ref), Rev: uint64(2*i + 2),
+			Value: &wire.Job{Spec: spec, Frames: 3, Next: 4}}}})
+		n.Step(second, Changes{Rev: uint64(2*i + 3), Events: []Event{{Key: wire.JobKey(ref), Rev: uint64(2*i + 3),
+			Value: &wire.Job{State: wire.Done, Frames: 3, Next: 4}}}})
+	}
+	each := (heap() - before) / jobs
+	t.Logf("a finished job keeps %d bytes", each)
+	if each > 450 {
+		t.Errorf("a finished job keeps %d bytes", each)
+	}
+	if len(n.live) != 0 {
+		t.Errorf("%d finished jobs count as live", len(n.live))
+	}
+	out := n.Step(second, UserRequest{Req: 1, Kind: "poll", Ref: "wk-000007"})
+	if len(out) == 0 || out[0].(Reply).Body.(wire.JobStatus).Status != wire.StatusDone {
+		t.Errorf("a finished job is answered with %+v", out)
+	}
+}
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"micaport/internal/core"
@@ -23,13 +24,17 @@
 	lastCode  int
 	lastOK    time.Duration
 	codes     []int
-	only      int // the controller it asks; -1: any
+	only      int           // the controller it asks; -1: any
+	since     time.Duration // when it first submitted
+	begun     time.Duration // when all of a gang, or the first of other tasks, ran; 0: not yet
+	on        []*taskSim    // its tasks on machines, in the order in which they came
 }
 
 // Submit has a user submit a job, repeatedly until it is accepted.
 func (w *World) Submit(s wire.Spec, run time.Duration, only int) {
-	u := &userSim{w: w, spec: s, run: run, only: only}
+	u := &userSim{w: w, spec: s, run: run, only: only, since: w.now}
 	w.users[s.Ref] = u
+	w.order = append(w.order, u)
 	u.submit(w.now)
 	w.every(5*time.Second, u.poll)
 }
@@ -175,12 +180,14 @@
 	answered time.Duration // when the last answered report was sent
 	recallAt time.Duration
 	urgent   bool
+	deafTo   time.Duration // until when no answer or command reaches it
 	lastSent time.Duration
 	drift    float64
 }
 
 type taskSim struct {
 	u       *userSim
+	k       *workerSim
 	ref     string
 	task    int
 	attempt uint64
@@ -217,7 +224,7 @@
 // lease kills everything when the last answered report is too old.
 func (k *workerSim) lease() {
 	if time.Duration(float64(k.w.now-k.answered)*k.drift) > k.w.Lease {
-		k.tasks = map[string]*taskSim{}
+		k.forget()
 		k.session++
 		k.answered = k.w.now
 		k.busy = false
@@ -225,6 +232,28 @@
 	}
 }
 
+// forget loses all tasks.
+func (k *workerSim) forget() {
+	for _, name := range sortedKeys(k.tasks) {
+		k.remove(name)
+	}
+}
+
+func (k *workerSim) add(key string, t *taskSim) {
+	k.tasks[key] = t
+	if t.u != nil {
+		t.u.on = append(t.u.on, t)
+	}
+}
+
+func (k *workerSim) remove(key string) {
+	t := k.tasks[key]
+	delete(k.tasks, key)
+	if t.u != nil {
+		t.u.on = slices.DeleteFunc(t.u.on, func(x *taskSim) bool { return x == t })
+	}
+}
+
 func (k *workerSim) snapshot() *wire.Report {
 	k.seq++
 	r := &wire.Report{Host: k.m.Name, Addr: k.m.Addr, Rig: k.m.Rig, Zone: k.m.Zone, Spot: k.m.Spot,
@@ -243,6 +272,7 @@
 func (k *workerSim) report() {
 	w := k.w
 	k.busy, k.urgent, k.lastSent = true, false, w.now
+	w.meter.reports++
 	k.tickets++
 	ticket, session, sent := k.tickets, k.session, w.now
 	r := k.snapshot()
@@ -284,7 +314,17 @@
 		})
 		return
 	}
+	if w.now < w.copiesTo {
+		// The network delivers it a second time, to whom it will.
+		m := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(time.Second+time.Duration(w.rng.Int64N(int64(w.copyDelay))), func() {
+			m.ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
+		})
+	}
 	n.ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(a core.Reply) {
+		if w.now < k.deafTo {
+			return
+		}
 		if w.cut(k.m.Name, k.m.Zone, n.label, n.zone) || w.now < w.lossTo && w.rng.Float64() < w.loss {
 			return
 		}
@@ -336,8 +376,8 @@
 		}
 		k.urgent = true
 		u := w.users[ref]
-		t = &taskSim{u: u, ref: ref, task: task, attempt: o.Attempt, state: wire.TaskFetching, since: w.now}
-		k.tasks[key] = t
+		t = &taskSim{u: u, k: k, ref: ref, task: task, attempt: o.Attempt, state: wire.TaskFetching, since: w.now}
+		k.add(key, t)
 		if u == nil || task >= u.spec.Frames {
 			t.state, t.cause = wire.TaskEnded, wire.CauseUnknown
 			return
@@ -394,7 +434,7 @@
 		k.end(t, wire.CauseHalted)
 	case wire.OrderClear:
 		if t != nil && t.state == wire.TaskEnded {
-			delete(k.tasks, key)
+			k.remove(key)
 			k.urgent = true
 		}
 	}
@@ -428,6 +468,9 @@
 
 func (k *workerSim) begin(t *taskSim) {
 	k.set(t, wire.TaskRunning)
+	if t.u.begun == 0 {
+		t.u.begun = k.w.now
+	}
 	name := wire.TaskName(t.ref, t.task)
 	switch {
 	case k.sick || t.u.fails:
@@ -452,19 +495,15 @@
 // gather starts a gang once all its tasks wait with the same attempt.
 func (w *World) gather(t *taskSim) {
 	var all []*taskSim
-	var at []*workerSim
-	for _, name := range sortedKeys(w.workers) {
-		k := w.workers[name]
-		for _, key := range sortedKeys(k.tasks) {
-			if x := k.tasks[key]; x.ref == t.ref && x.attempt == t.attempt && x.state == wire.TaskGathering && !k.off && !k.hung {
-				all, at = append(all, x), append(at, k)
-			}
+	for _, x := range t.u.on {
+		if x.attempt == t.attempt && x.state == wire.TaskGathering && !x.k.off && !x.k.hung {
+			all = append(all, x)
 		}
 	}
 	if len(all) < t.u.spec.Frames {
 		return
 	}
-	for i, x := range all {
-		at[i].begin(x)
+	for _, x := range all {
+		x.k.begin(x)
 	}
 }
--- a/internal/world/rules.go
+++ b/internal/world/rules.go
@@ -10,15 +10,16 @@
 // present walks over the tasks that are on machines, in a fixed order. Tasks
 // that still fetch their image count, which is stricter than the protocol.
 func (w *World) present(f func(k *workerSim, t *taskSim)) {
-	for _, name := range sortedKeys(w.workers) {
-		k := w.workers[name]
-		if k.off {
-			continue
-		}
-		for _, key := range sortedKeys(k.tasks) {
-			if t := k.tasks[key]; t.state != wire.TaskEnded {
-				f(k, t)
-			}
+	for _, u := range w.order {
+		u.present(f)
+	}
+}
+
+// present is that of World for the tasks of one job.
+func (u *userSim) present(f func(k *workerSim, t *taskSim)) {
+	for _, t := range u.on {
+		if t.state != wire.TaskEnded && !t.k.off {
+			f(t.k, t)
 		}
 	}
 }
@@ -34,18 +35,20 @@
 	w.attempts[name] = k.m.Name
 	zones := map[string]int{}
 	cores, cards := 0.0, 0.0
-	w.present(func(k2 *workerSim, x *taskSim) {
-		if x != t && x.ref == t.ref && x.task == t.task {
+	t.u.present(func(k2 *workerSim, x *taskSim) {
+		if x != t && x.task == t.task {
 			w.broke("ran_twice", "%s/%d: attempt %d on %s, attempt %d on %s", t.ref, t.task, t.attempt, k.m.Name, x.attempt, k2.m.Name)
 		}
-		if x.ref == t.ref {
-			zones[k2.m.Zone]++
-		}
-		if x.u.spec.Team == sp.Team {
-			cores += x.u.spec.Cores
-			cards += x.u.spec.Cards
-		}
+		zones[k2.m.Zone]++
 	})
+	for _, u := range w.order {
+		if u.spec.Team == sp.Team {
+			u.present(func(*workerSim, *taskSim) {
+				cores += u.spec.Cores
+				cards += u.spec.Cards
+			})
+		}
+	}
 	for _, team := range w.Teams {
 		if team.Name == sp.Team && (team.CardsMax > 0 && cards > team.CardsMax+1e-6 || team.CoresMax > 0 && cores > team.CoresMax+1e-6) {
 			w.broke("quota", "%s uses %v cards and %v cores", sp.Team, cards, cores)
@@ -83,6 +86,12 @@
 	if mute > 0 && served > mute {
 		w.broke("forgotten", "%d jobs get no answers while %d do", mute, served)
 	}
+	// Once all troubles are over each job is judged by itself.
+	for _, u := range w.order {
+		if quiet := w.now - max(u.lastOK, w.calm); u.accepted && u.withdrawn == 0 && quiet > 75*time.Second {
+			w.broke("forgotten", "%s: no answer for %v, the last was %d", u.spec.Ref, quiet, u.lastCode)
+		}
+	}
 	w.present(func(k *workerSim, t *taskSim) {
 		if u := t.u; u.withdrawn > 0 && w.now-u.withdrawn > w.Cancel {
 			w.broke("ran_cancelled", "%s/%d on %s %v after (%s)", t.ref, t.task, k.m.Name, w.now-u.withdrawn, t.state)
@@ -113,8 +122,8 @@
 		}
 	case wire.TaskRunning:
 		peers := 0
-		w.present(func(k2 *workerSim, x *taskSim) {
-			if x.ref == t.ref && x.attempt == t.attempt && !k2.hung && (x.state == wire.TaskRunning || x.state == wire.TaskSaving) {
+		t.u.present(func(k2 *workerSim, x *taskSim) {
+			if x.attempt == t.attempt && !k2.hung && (x.state == wire.TaskRunning || x.state == wire.TaskSaving) {
 				peers++
 			}
 		})
@@ -127,3 +136,50 @@
 		}
 	}
 }
+
+// beginWithin is how long the largest jobs of a class may take to begin.
+const beginWithin = 240 * time.Second
+
+// served checks what is checked at the end of a day: at least half of every
+// class, of every team and of the largest jobs of each class has begun, the
+// largest in time. Jobs that came too late to be judged, that were withdrawn
+// or that can't run are left out.
+func (w *World) served() []string {
+	type share struct{ begun, all int }
+	shares := map[string]*share{}
+	largest := map[string]int{}
+	count := func(what string, begun bool) {
+		s := shares[what]
+		if s == nil {
+			s = &share{}
+			shares[what] = s
+		}
+		s.all++
+		s.begun += map[bool]int{true: 1}[begun]
+	}
+	judged := func(u *userSim) bool {
+		return u.accepted && !u.asked && !u.fails && w.now-u.since > beginWithin
+	}
+	for _, u := range w.order {
+		if judged(u) {
+			largest[u.spec.Class] = max(largest[u.spec.Class], u.spec.Frames)
+		}
+	}
+	for _, u := range w.order {
+		if !judged(u) {
+			continue
+		}
+		count("class "+u.spec.Class, u.begun > 0)
+		count("team "+u.spec.Team, u.begun > 0)
+		if u.spec.Frames == largest[u.spec.Class] {
+			count("largest of class "+u.spec.Class, u.begun > 0 && u.begun-u.since <= beginWithin)
+		}
+	}
+	var faults []string
+	for _, what := range sortedKeys(shares) {
+		if s := shares[what]; 2*s.begun < s.all {
+			faults = append(faults, fmt.Sprintf("served: %d of %d of %s", s.begun, s.all, what))
+		}
+	}
+	return faults
+}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -72,6 +73,8 @@
 			s.Zones = f[1:]
 		case "capacity":
 			s.Capacity = int(num())
+		case "write_rps":
+			s.WriteRPS = num()
 		case "boot_s":
 			s.Boot = secs(num())
 		case "report_s":
@@ -126,6 +129,9 @@
 		})
 	}
 	w.Run(last + time.Millisecond)
+	if len(w.Broken) == 0 {
+		faults = append(faults, w.served()...)
+	}
 	return append(faults, w.Broken...)
 }
 
@@ -192,7 +198,13 @@
 		w.after(dur(0), func() { w.cloud.short = false })
 	case "lossy": // share lost, share late, seconds
 		w.loss, w.late, w.lossTo = num(0), num(1), w.now+dur(2)
-	case "hang", "take", "sick", "recall":
+		w.troubled(dur(2))
+	case "copies": // seconds for which every report comes twice, up to SECONDS late
+		w.copiesTo, w.copyDelay = w.now+dur(0), dur(1)
+		w.troubled(dur(0) + dur(1))
+	case "blink": // seconds for which controllers end and are back within half a second
+		w.blink(w.now + dur(0))
+	case "hang", "take", "sick", "recall", "mute", "reset":
 		return w.machineVerb(verb, args)
 	case "storm": // seconds
 		w.storm(w.now + dur(0))
@@ -206,6 +218,8 @@
 				}
 			})
 		}
+	case "meter": // count from here on
+		w.meter = meter{since: w.now, work: w.work()}
 	case "expect":
 		return w.expect(args)
 	default:
@@ -229,6 +243,8 @@
 			}
 		case "team":
 			s.Team = v
+		case "class":
+			s.Class = v
 		case "urgency":
 			s.Urgency = v
 		case "frames":
@@ -303,6 +319,7 @@
 }
 
 func (w *World) trouble(verb string, k *workerSim, d time.Duration) {
+	w.troubled(d)
 	switch verb {
 	case "hang":
 		k.hung = true
@@ -312,6 +329,13 @@
 			k.tickets++
 			k.lease()
 		})
+	case "mute": // its reports arrive, but neither answers nor commands reach it
+		k.deafTo = w.now + d
+	case "reset": // it is back at once and has lost its tasks
+		k.forget()
+		k.session++
+		k.answered, k.busy, k.urgent = w.now, false, true
+		k.tickets++
 	case "take":
 		w.cloud.kill(k.m.Name)
 	case "recall":
@@ -346,7 +370,7 @@
 			w.trouble(verb, up[w.rng.IntN(len(up))], d)
 		}
 	}
-	switch w.rng.IntN(15) {
+	switch w.rng.IntN(18) {
 	case 0, 1:
 		w.Crash(n, min(d, 10*time.Second))
 	case 2:
@@ -373,6 +397,13 @@
 		pick("recall")
 	case 11:
 		pick("sick")
+	case 15:
+		pick("mute")
+	case 16:
+		pick("reset")
+	case 17:
+		w.copiesTo, w.copyDelay = w.now+d, 90*time.Second
+		w.troubled(d + 90*time.Second)
 	case 13:
 		w.loss, w.late, w.lossTo = 0.1, 0.3, w.now+d
 	case 14:
@@ -385,6 +416,16 @@
 	w.after(time.Duration(2+w.rng.IntN(15))*time.Second, func() { w.storm(until) })
 }
 
+// blink ends controllers that are back within a fraction of a second, also in
+// an election that the end of the last one has caused.
+func (w *World) blink(until time.Duration) {
+	if w.now >= until {
+		return
+	}
+	w.Crash(w.rng.IntN(len(w.nodes)), time.Duration(100+w.rng.IntN(400))*time.Millisecond)
+	w.after(time.Duration(200+w.rng.IntN(4000))*time.Millisecond, func() { w.blink(until) })
+}
+
 // expect checks "JOB WHAT..." or something about the world as a whole.
 func (w *World) expect(args []string) error {
 	if what, known, err := w.expectWorld(args[0]); known {
@@ -405,13 +446,20 @@
 	return nil
 }
 
-// expectWorld checks machines<=N, machines>=N, leaders<=N, sick=0 or
-// owner=PART:CONTROLLER.
+// expectWorld checks machines<=N, machines>=N, leaders<=N, sick=0, muted=0,
+// owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
+// refused<=N commits, looks_per_report<=N at machines by all controllers, and
+// bytes_per_s<=N between controllers.
 func (w *World) expectWorld(what string) (string, bool, error) {
 	holds, got := false, any(nil)
 	if k, v, ok := strings.Cut(what, "<="); ok {
 		limit, _ := strconv.Atoi(v)
-		count := map[string]int{"machines": len(w.up()), "leaders": w.store.leaders}
+		seconds := max(1, int((w.now - w.meter.since).Seconds()))
+		count := map[string]int{
+			"machines": len(w.up()), "leaders": w.store.leaders, "refused": w.meter.refused,
+			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
+			"bytes_per_s":      w.meter.bytes / seconds,
+		}
 		n, known := count[k]
 		if !known {
 			return what, false, nil
@@ -422,7 +470,15 @@
 		holds, got = len(w.up()) >= limit, len(w.up())
 	} else if v, ok := strings.CutPrefix(what, "owner="); ok {
 		part, owner, _ := strings.Cut(v, ":")
-		holds, got = w.owner(part) == owner, w.owner(part)
+		holds, got = slices.Contains(strings.Split(owner, "|"), w.owner(part)), w.owner(part)
+	} else if what == "muted=0" {
+		muted := 0
+		for _, k := range w.up() {
+			if k.deafTo > w.now {
+				muted++
+			}
+		}
+		holds, got = muted == 0, muted
 	} else if what == "sick=0" {
 		sick := 0
 		for _, k := range w.up() {
@@ -469,6 +525,9 @@
 		if k == "starts" && w.Starts[u.spec.Ref] > number(v) {
 			return bad(w.Starts[u.spec.Ref])
 		}
+		if k == "begun" && (u.begun == 0 || u.begun > secs(float64(number(v)))) {
+			return bad(u.begun)
+		}
 		return nil
 	}
 	k, v, pair := strings.Cut(what, "=")
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -15,6 +15,8 @@
 	keys    map[string]*entry
 	leases  map[uint64]*leaseSim
 	next    uint64
+	puts    float64 // left of what the service takes now
+	putsAt  time.Duration
 	outage  bool
 	ledFrom time.Duration // when the leadership was last claimed
 	leaders int           // claims of leadership so far
@@ -76,6 +78,15 @@
 	if len(puts) > s.w.TxnOps || len(conds) > 4*s.w.TxnOps {
 		s.w.broke("limits", "transaction with %d writes and %d conditions", len(puts), len(conds))
 	}
+	if limit := s.w.WriteRPS; limit > 0 {
+		s.puts = min(limit, s.puts+limit*(s.w.now-s.putsAt).Seconds())
+		s.putsAt = s.w.now
+		if s.puts < float64(len(puts)) {
+			s.w.meter.refused++
+			return core.Refused, 0
+		}
+		s.puts -= float64(len(puts))
+	}
 	for _, p := range puts {
 		if len(p.raw) > s.w.ValueBytes {
 			s.w.broke("limits", "value of %s has %d bytes", p.key, len(p.raw))
@@ -165,6 +176,7 @@
 
 // Outage stops the service for a while; every lease has its full time after.
 func (w *World) Outage(d time.Duration) {
+	w.troubled(d)
 	s := w.store
 	s.outage = true
 	w.after(d, func() {
@@ -178,6 +190,7 @@
 
 // Refuse makes the service refuse one controller for a while.
 func (w *World) Refuse(ix int, d time.Duration) {
+	w.troubled(d)
 	l := w.nodes[ix].label
 	w.store.refuse[l]++
 	w.after(d, func() { w.store.refuse[l]--; w.store.notify() })
@@ -185,6 +198,7 @@
 
 // Deafen makes the watch of one controller hang for a while.
 func (w *World) Deafen(ix int, d time.Duration) {
+	w.troubled(d)
 	l := w.nodes[ix].label
 	w.store.deaf[l]++
 	w.after(d, func() { w.store.deaf[l]--; w.store.notify() })
@@ -346,6 +360,6 @@
 	}
 	if k := c.w.workers[name]; k != nil {
 		k.off = true
-		k.tasks = map[string]*taskSim{}
+		k.forget()
 	}
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -29,7 +29,8 @@
 	GangPeer   time.Duration
 	Cancel     time.Duration
 	Boot       time.Duration
-	Capacity   int // machines of each kind in each zone
+	Capacity   int     // machines of each kind in each zone
+	WriteRPS   float64 // puts a second that the state service takes; 0: any number
 	TxnOps     int
 	ValueBytes int
 	Idle       time.Duration
@@ -40,7 +41,7 @@
 	return Settings{
 		Seed: 1, Nodes: []string{"a", "b", "a"}, Zones: []string{"a", "b"},
 		Teams: []core.Team{
-			{Name: "red", Cards: 4, CardsMax: 8}, {Name: "blue", Cards: 4, CardsMax: 8}, {Name: "wide", CardsMax: 1000},
+			{Name: "red", Cards: 4, CardsMax: 8}, {Name: "blue", Cards: 4, CardsMax: 8}, {Name: "wide", CardsMax: 1000}, {Name: "huge", CardsMax: 10000},
 		},
 		Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 35 * time.Second,
 		GangPeer: 8 * time.Second, Cancel: 55 * time.Second,
@@ -61,13 +62,17 @@
 	cloud   *cloud
 	workers map[string]*workerSim
 	users   map[string]*userSim
+	order   []*userSim      // in the order in which they came
 	done    map[string]bool // tasks that have completed, by name
 
-	loss   float64         // share of requests that get lost, answered or not
-	late   float64         // share of requests that are carried out much later
-	cuts   map[string]int  // pairs of ends that can't reach each other
-	lossTo time.Duration   // until when loss and late hold
-	held   map[string]bool // cuts that deliver what they held
+	loss   float64        // share of requests that get lost, answered or not
+	late   float64        // share of requests that are carried out much later
+	cuts   map[string]int // pairs of ends that can't reach each other
+	lossTo time.Duration  // until when loss and late hold
+	calm   time.Duration  // when the last trouble ends, as far as is known
+
+	copiesTo, copyDelay time.Duration   // until when reports come twice, and how late
+	held                map[string]bool // cuts that deliver what they held
 
 	// Broken lists broken rules; a test fails when there are any.
 	Broken   []string
@@ -76,6 +81,7 @@
 	// Starts counts starts of tasks by job.
 	Starts  map[string]int
 	bulk    int
+	meter   meter
 	stashed *wire.Report
 	trace   func(string, ...any)
 }
@@ -194,6 +200,7 @@
 // Cut separates two ends for a while; with hold, what is sent meanwhile
 // arrives afterwards.
 func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	w.troubled(d)
 	k := a + "|" + b
 	w.cuts[k]++
 	w.held[k] = hold
@@ -204,6 +211,33 @@
 	})
 }
 
+// meter counts what a day costs, so that a test can bound how the cost grows.
+type meter struct {
+	since          time.Duration
+	reports, bytes int
+	refused        int
+	work           uint64 // of all controllers when it was set to zero
+}
+
+func (w *World) work() uint64 {
+	sum := uint64(0)
+	for _, n := range w.nodes {
+		sum += n.core.Work()
+	}
+	return sum
+}
+
+// batchPuts is as in the real service.
+func (w *World) batchPuts() int {
+	if w.WriteRPS <= 0 {
+		return w.TxnOps
+	}
+	return max(2, int(1.5*w.WriteRPS/float64(len(w.Nodes))))
+}
+
+// troubled notes that there is trouble for a while.
+func (w *World) troubled(d time.Duration) { w.calm = max(w.calm, w.now+d) }
+
 func (n *node) start() {
 	w := n.w
 	n.up, n.boot = true, w.now
@@ -213,7 +247,7 @@
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
 		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait,
 		Validity: config.Validity(w.Lease, w.Cancel), LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
-		ListLag: 4 * time.Second, BatchPuts: 12, CloudRPS: 2, StateRPS: 250, IdleReturn: w.Idle, Spares: 1, Preempt: true,
+		ListLag: 4 * time.Second, BatchPuts: w.batchPuts(), CloudRPS: 2, StateRPS: 250, WriteRPS: w.WriteRPS, IdleReturn: w.Idle, Spares: 1, Preempt: true,
 		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
 	for _, m := range w.nodes {
@@ -239,6 +273,7 @@
 	if !n.up {
 		return
 	}
+	w.troubled(d)
 	n.up = false
 	n.wait = nil
 	w.after(d, n.start)
@@ -361,6 +396,9 @@
 					continue
 				}
 				msg := *x.Msg
+				if raw, err := wire.Encode(x.Msg); err == nil {
+					w.meter.bytes += len(raw)
+				}
 				m.deliver(w.latency(), core.Gossiped{Msg: &msg})
 			}
 		}
