--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -316,8 +316,8 @@
 		}
 		h.deaf, n.ownInfoAt = deaf, 0
 	}
-	if n.worthWaiting(p, h, r, orders) {
-		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + answerPause})
+	if pause := n.worthWaiting(h, r, orders); pause > 0 {
+		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + pause})
 		return
 	}
 	n.answerWorker(in.Req, p, h, orders)
@@ -352,6 +352,12 @@
 // orders that miss this answer leave the machine idle for as long.
 const answerPause = 600 * 1e6
 
+// idlePause is how long the answer to a machine without tasks waits for
+// something to start. The worker would wait 4 s; it has nothing else to tell,
+// and a start that comes meanwhile reaches it at once instead of with its next
+// report.
+const idlePause = 2500 * 1e6
+
 // heldReport is a report whose answer waits.
 type heldReport struct {
 	Reported
@@ -361,18 +367,27 @@
 	until Time
 }
 
-// worthWaiting tells whether orders are likely to follow within the pause:
-// when tasks have just ended, and when the machine is new.
-func (n *Node) worthWaiting(p *part, h *host, r *wire.Report, orders []wire.Order) bool {
+// worthWaiting tells how long orders may be waited for: when tasks have just
+// ended, when the machine is new, and when it is idle.
+func (n *Node) worthWaiting(h *host, r *wire.Report, orders []wire.Order) Time {
 	for _, o := range orders {
 		if o.Op != wire.OrderClear {
-			return false // has something to do at once
+			return 0 // has something to do at once
 		}
 	}
 	if len(h.on) == 0 && len(r.Tasks) == 0 {
-		return h.reports <= 3 && n.usable(h)
+		switch {
+		case !n.usable(h):
+			return 0
+		case h.token && h.reports > 1:
+			return idlePause
+		}
+		return answerPause
+	}
+	if n.pendingResults(h) {
+		return answerPause
 	}
-	return n.pendingResults(h)
+	return 0
 }
 
 // pendingResults tells whether the end of a task on the machine still has to
@@ -398,7 +413,7 @@
 			n.redirect(q.Req, p, h, false)
 			return true
 		}
-		if n.now < q.until && (n.pendingResults(h) || !n.startsWaiting(h)) {
+		if n.now < q.until && (n.pendingResults(h) || !n.startsWaiting(h)) && !h.retiring {
 			return false
 		}
 		n.answerWorker(q.Req, p, h, n.reconcile(p, h, q.Report))
