--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,10 +256,12 @@
 	checks     []check
 	gossipAt   Time
 	gossipLast Time
-	ver        uint64   // of our view of our own machines
-	told       []change // in order of version
-	strayed    []int    // machines of others that came here lately
-	retiring   []int    // machines that the leader wants emptied
+	ver        uint64      // of our view of our own machines
+	told       []change    // in order of version
+	strayed    []int       // machines of others that came here lately
+	kept       map[int]int // machines that the leader keeps for a job
+	keptAt     Time
+	retiring   []int // machines that the leader wants emptied
 	tidyAt     Time
 	ownInfoAt  Time
 	heldAt     Time
@@ -319,7 +321,7 @@
 	n := &Node{
 		cfg:     cfg,
 		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, peers: map[string]*peer{},
-		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
+		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, kept: map[int]int{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
 	}
 	n.partLease.ttl = cfg.Validity
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -35,6 +35,7 @@
 	if n.leads() {
 		m.Retire = n.leader.retireList(n)
 		m.Returned = n.leader.returnedLately(n)
+		m.Kept = n.leader.kept
 		for _, key := range n.gangKeys() {
 			if g := n.gangs[key]; g.rec.State != wire.GangDropped {
 				m.Tries = append(m.Tries, wire.Hold{Ref: g.ref, Attempt: g.rec.Attempt, OK: g.rec.State == wire.GangConfirmed})
@@ -441,6 +442,15 @@
 			n.hosts[ix].returned = true
 		}
 	}
+	// Owners choose the machines. Without knowing which ones the leader keeps
+	// for a gang they filled them again as soon as a task on them had ended.
+	clear(n.kept)
+	n.keptAt = n.now
+	for _, k := range m.Kept {
+		if h, j := n.hostIx.Find(k.Host), n.refs.Find(k.Ref); h >= 0 && j >= 0 {
+			n.kept[h] = j
+		}
+	}
 	asked := make(map[string]bool, len(m.Retire))
 	for _, name := range m.Retire {
 		asked[name] = true
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,6 +22,7 @@
 	cloud cloudState
 	// Machines that the cloud has confirmed gone, for the owners to hear.
 	returned []returned
+	kept     []wire.Kept // machines kept for the gang that has waited longest
 }
 
 type returned struct {
@@ -47,7 +48,7 @@
 	l.batch = batch{name: "leader", gen: l.batch.gen + 1}
 	l.hint = map[taskKey]*host{}
 	l.cloud = newCloudState()
-	l.returned = nil
+	l.returned, l.kept = nil, nil
 	l.dirty = true
 }
 
@@ -259,6 +260,8 @@
 	used    []use    // by team
 	hires   map[pool]int
 	count   map[pool]int // machines of each pool, up, coming or planned
+	starved *want        // the gang that gathers room before all others
+	kept    []wire.Kept  // for it
 	misses  []miss       // demands that found no free room in this pass
 	left    int          // grants that found no put, at most 50
 	stops   int
@@ -290,6 +293,10 @@
 	n.hopedFor(p)
 	idle := p.idleSlots()
 	left := p.serveQueues(n.queues())
+	if !slices.Equal(p.kept, n.leader.kept) {
+		n.leader.kept = p.kept
+		n.gossip(true)
+	}
 	p.keepReserve()
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -1013,6 +1013,9 @@
 			n.work++
 			if n.usable(h) {
 				if s := n.slotOf(h); s != nil {
+					if j, kept := n.kept[h.ix]; kept && n.now-n.keptAt < 5*second {
+						s.keptFor = j + 1
+					}
 					slots.add(s)
 				}
 			}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -189,6 +189,7 @@
 	soonCards, soonMem float64
 	daemon             bool // a daemon keeps the machine up anyway
 	reserved           bool // kept for a gang that still waits for more machines
+	keptFor            int  // one more than the only job that it is for; 0: any
 	images             set
 	fetchGB            float64 // being fetched: images share the rate
 	errors             int
@@ -234,6 +235,9 @@
 // failed the job is not tried again before others have failed it too, and it
 // is the job that is at fault.
 func (s *slot) suits(j *job) bool {
+	if s.keptFor > 0 && s.keptFor != j.ix+1 {
+		return false
+	}
 	if s.h != nil && len(j.rec.Avoid) > 0 && len(j.rec.Avoid) < 3 && contains(j.rec.Avoid, s.h.name) {
 		return false
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -120,6 +120,7 @@
 		}
 	}
 	if first != nil {
+		p.starved = first
 		p.serveGang(first)
 		for _, q := range qs {
 			q.wants = slices.DeleteFunc(q.wants, func(w *want) bool { return w == first })
@@ -480,6 +481,9 @@
 	w.j.gangZone = best.zone
 	stopped := false
 	for _, x := range best.from {
+		if w == p.starved && x.s.h != nil {
+			p.kept = append(p.kept, wire.Kept{Host: x.s.h.name, Ref: w.j.ref})
+		}
 		switch {
 		case len(x.victims) > 0:
 			if p.stop(w, x.victims) {
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -42,6 +42,13 @@
 	OK       bool
 }
 
+// Kept says that a machine is kept for a job.
+type Kept struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Host     string
+	Ref      string
+}
+
 // Seen says how far a controller has taken in what another life tells of its
 // machines.
 type Seen struct {
@@ -73,6 +80,7 @@
 	Hosts    []HostInfo
 	Holds    []Hold
 	Tries    []Hold   // leader: gang attempts that wait for holds, confirmed if OK
+	Kept     []Kept   // leader: machines on which room is being gathered
 	Retire   []string // leader: machines to be emptied for return
 	Returned []string // leader: machines the cloud has confirmed gone
 	Strays   []string // machines that came here though their owners miss them
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"micaport/internal/core"
@@ -20,6 +21,7 @@
 	outage  bool
 	ledFrom time.Duration // when the leadership was last claimed
 	leaders int           // claims of leadership so far
+	claims  int           // claims of parts so far
 	refuse  map[string]int
 	deaf    map[string]int // controllers whose watch hangs
 	log     []change
@@ -128,6 +130,9 @@
 		s.leaders++
 		s.ledFrom = s.w.now
 	}
+	if strings.HasPrefix(p.key, wire.PartPrefix) && p.raw != nil {
+		s.claims++
+	}
 	s.log = append(s.log, change{p.key, p.raw, rev})
 }
 
