A task lost with its session starts again on its own machine; held reports prove no deafness

Cause: when a zone is back after its tasks' leases have ended, the machines have the images, but their room still showed the lost tasks, so each task went to a machine without its image.

--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -284,7 +284,9 @@
 	if h.session != r.Session {
 		// Its lease ran out although we answered it a short while ago: our
 		// answers don't reach it.
-		if h.reports > 1 && h.answered > 0 && n.now-h.answered < n.cfg.Lease*3/4 {
+		// Only reports that show our term tell so: what was held back in a cut
+		// arrives together with the next session.
+		if h.token && h.reports > 1 && h.answered > 0 && n.now-h.answered < n.cfg.Lease*3/4 {
 			h.ignored = deafAfter
 		}
 		clear(h.started)
@@ -292,7 +294,7 @@
 	if h.token != (r.Token == p.rev) {
 		h.token, h.ignored = r.Token == p.rev, 0
 		n.ownInfoAt = 0
-	} else if h.reports > 0 && h.answered > 0 && !h.token {
+	} else if h.reports > 0 && !h.token && n.inVain(h) {
 		h.ignored++
 	}
 	consecutive := h.session == r.Session && r.Seq == h.seq+1
@@ -323,6 +325,11 @@
 	n.answerWorker(in.Req, p, h, orders)
 }
 
+// inVain tells whether a machine may have waited in vain for our last answer:
+// it would have done so for 4 s. What comes sooner was on its way before, as
+// everything that a cut has held back.
+func (n *Node) inVain(h *host) bool { return h.answered > 0 && n.now-h.answered > 3*second }
+
 // deafAfter is how many answers in a row may be without effect before a
 // machine counts as deaf. One or two are lost now and then.
 const deafAfter = 3
@@ -370,6 +377,9 @@
 // worthWaiting tells how long orders may be waited for: when tasks have just
 // ended, when the machine is new, and when it is idle.
 func (n *Node) worthWaiting(h *host, r *wire.Report, orders []wire.Order) Time {
+	if !h.token && !h.newborn {
+		return 0 // it is to learn our term first
+	}
 	for _, o := range orders {
 		if o.Op != wire.OrderClear {
 			return 0 // has something to do at once
@@ -503,6 +513,10 @@
 	term  uint64 // in which it was found out
 }
 
+// sessionPause is how long a task that was lost with its machine's session
+// waits for the machine to take our term. It reports again after half a second.
+const sessionPause = 1200 * 1e6
+
 // termOf is the term of the part that the machine belongs to.
 func (h *host) termOf(n *Node) uint64 { return n.parts[h.part].rev }
 
@@ -589,7 +603,7 @@
 			h.started[k] = r.Seq
 		}
 	}
-	if missed {
+	if missed && n.inVain(h) {
 		h.ignored++
 	}
 	return orders
@@ -872,6 +886,12 @@
 		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil {
 			continue
 		}
+		// A machine that has lost its session is the best place for the same
+		// task, as it has the image, once it has shown that it knows our term.
+		if h := n.hostOf(res.host); res.cause == causeLost && h.part >= 0 && n.now-res.at < sessionPause && h.term == n.parts[h.part].rev &&
+			!h.token && n.now-h.heard < sessionPause {
+			continue
+		}
 		if n.now-oldest[k.job] < Time(float64(resultPause)*n.scarcity()) {
 			continue
 		}
@@ -909,7 +929,7 @@
 	}
 	j := n.jobNamed(rec.Spec.Ref)
 	s := room.slots(n).best(j, func(s *slot) bool { return s.part == was.Part }, nil)
-	if s == nil || s.h.name == was.Host {
+	if s == nil || s.h.name == was.Host && s.h.session <= was.Session {
 		return
 	}
 	s.take(rec.Spec)
@@ -1016,6 +1036,13 @@
 					if j, kept := n.kept[h.ix]; kept && n.now-n.keptAt < 5*second {
 						s.keptFor = j + 1
 					}
+					// What is proven gone leaves its room, though its record
+					// still shows it; the new placing goes into the same put.
+					for i := range h.on {
+						if _, over := n.results[h.on[i].taskKey]; over && n.jobs[h.on[i].job].rec.Spec != nil {
+							s.give(n.jobs[h.on[i].job].rec.Spec, 1)
+						}
+					}
 					slots.add(s)
 				}
 			}
