--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -227,7 +227,9 @@
 	}
 	reluctant := p.keepsOrdinary(w)
 	ok := func(s *slot) bool {
-		if reluctant && s.h != nil && !s.spot && s.untouched() {
+		// Machines to come are no different: planned on ordinary ones that it
+		// would not take, it would wait for them while no spot machine is hired.
+		if reluctant && !s.spot && s.untouched() {
 			return false
 		}
 		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
