Starts also go to machines' own addresses

An owner now sends the start to the worker's address once its copy shows the placing, unless an answer waits.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,6 +121,13 @@
 		Hire    *wire.Hire
 		Return  []string
 	}
+	// Direct sends orders to a worker's own address; Directed says what became
+	// of them.
+	Direct struct {
+		ID     uint64
+		Addr   string
+		Orders wire.Orders
+	}
 	// Send is a message to a peer.
 	Send struct {
 		To  string
@@ -176,6 +183,13 @@
 		Rev     uint64
 		Failed  []string // after Conflict: the keys that were not as demanded
 	}
+	// Directed is the result of Direct: OK when the worker has carried the
+	// orders out, Conflict when it never will, as its session or token is
+	// another, Refused when they were not sent.
+	Directed struct {
+		ID      uint64
+		Outcome Outcome
+	}
 	// GotJob is the result of Read.
 	GotJob struct {
 		ID      uint64
@@ -274,6 +288,7 @@
 	imagesKept int // entries in the record of images as last written
 
 	held      []heldReport
+	unstarted []int // machines of ours with a task that they have not shown
 	owner     batch
 	ownerAt   Time
 	results   map[taskKey]result // what became of tasks, not yet in their records
@@ -360,6 +375,8 @@
 		n.forwarded(x)
 	case Committed:
 		n.resolve(x.ID, x)
+	case Directed:
+		n.resolve(x.ID, x)
 	case GotJob:
 		n.resolve(x.ID, x)
 	case Leased:
@@ -386,6 +403,7 @@
 	n.runChecks()
 	n.ownerTick()
 	n.answerHeld()
+	n.startDirectly()
 	if n.now >= n.ownInfoAt {
 		// Changes on our machines are told at once, silence now and then.
 		n.ownInfoAt = n.now + second
--- /dev/null
+++ b/internal/core/direct.go
@@ -0,0 +1,87 @@
+package core
+
+import "micaport/internal/wire"
+
+// directStart is a start that was sent to a worker's own address. The worker
+// may carry it out at any time while its session and our term last, a copy of
+// it too, so until then the task counts as there and, once it has ended, is not
+// cleared. See "Starts at a worker's own address" in docs/design.md.
+type directStart struct{ at Time }
+
+// directLimit bounds the starts of a machine's session that go to its own
+// address, as each leaves an ended task in its reports: a kilobyte in all.
+const directLimit = 16
+
+// noteUnstarted remembers a machine of ours on which a task has been placed.
+func (n *Node) noteUnstarted(h *host, k taskKey) {
+	if h.listed || h.part < 0 || !n.holds(n.parts[h.part]) {
+		return
+	}
+	if _, there := h.tasks[k]; !there {
+		h.listed = true
+		n.unstarted = append(n.unstarted, h.ix)
+	}
+}
+
+// startDirectly tells machines of tasks that have just been placed on them,
+// where no answer to a report is about to.
+func (n *Node) startDirectly() {
+	if len(n.unstarted) == 0 {
+		return
+	}
+	list := n.unstarted
+	n.unstarted = nil
+	for _, ix := range list {
+		h := n.hosts[ix]
+		h.listed = false
+		if h.part >= 0 && n.hearsUs(h) {
+			n.startOn(h)
+		}
+	}
+}
+
+// hearsUs tells whether a machine does what the present owner says, and none
+// of its reports waits for an answer.
+func (n *Node) hearsUs(h *host) bool {
+	p := n.parts[h.part]
+	return n.valid(p) && h.term == p.rev && h.token && h.held == 0 && h.ignored == 0 && !h.deaf && !h.returned &&
+		h.leavingAt == 0 && h.addr != "" && n.now-h.heard < 2*n.cfg.Report
+}
+
+func (n *Node) startOn(h *host) {
+	var orders []wire.Order
+	var keys []taskKey
+	for i := range h.on {
+		x := &h.on[i]
+		k, j := x.taskKey, n.jobs[x.job]
+		_, there := h.tasks[k]
+		_, over := n.results[k]
+		if there || over || h.started[k] > 0 || h.direct[k] != nil || x.session != h.session || x.stop != wire.Keep ||
+			j.rec.State != wire.Live || len(h.direct)+len(orders) >= directLimit {
+			continue
+		}
+		a := n.active(k, h.name)
+		if a == nil || n.holdBack(j, a) {
+			continue
+		}
+		orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, k.task), Attempt: k.attempt})
+		keys = append(keys, k)
+	}
+	if len(orders) == 0 {
+		return
+	}
+	for _, k := range keys {
+		h.direct[k] = &directStart{n.now}
+	}
+	term, session := h.term, h.session
+	id := n.id(func(in any) {
+		if o := in.(Directed).Outcome; h.term != term || h.session != session || o != Refused && o != Conflict {
+			return
+		}
+		// Certainly not carried out, now or later: its reports will do.
+		for _, k := range keys {
+			delete(h.direct, k)
+		}
+	})
+	n.emit(Direct{ID: id, Addr: h.addr, Orders: wire.Orders{Token: term, Session: session, Orders: orders}})
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -141,6 +141,7 @@
 		}
 		h.on = slices.Insert(h.on, at, placed{part: a.Part, stop: a.Stop, session: a.Session, taskKey: taskKey{j.ix, a.Task, a.Attempt}})
 		h.roomKnown = false
+		n.noteUnstarted(h, taskKey{j.ix, a.Task, a.Attempt})
 	}
 }
 
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -255,7 +255,7 @@
 		return
 	}
 	n.setPart(h, pi)
-	h.rig, h.spot = n.rigs.Of(r.Rig), r.Spot
+	h.rig, h.spot, h.addr = n.rigs.Of(r.Rig), r.Spot, r.Addr
 	if !n.loaded || !n.valid(p) || r.Token > p.rev {
 		// A copy of what we have seen before tells nothing of where the
 		// machine is now.
@@ -273,7 +273,7 @@
 	}
 	if h.term != p.rev {
 		h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
-		h.started = map[taskKey]uint64{}
+		h.started, h.direct = map[taskKey]uint64{}, map[taskKey]*directStart{}
 		// The first report of a machine's life, of which nobody has heard: it
 		// can't know any term yet.
 		h.newborn = r.Session == 1 && r.Seq <= 2 && r.Token == 0 && !h.info.known && len(h.on) == 0
@@ -290,6 +290,7 @@
 			h.ignored = deafAfter
 		}
 		clear(h.started)
+		clear(h.direct)
 	}
 	if h.token != (r.Token == p.rev) {
 		h.token, h.ignored = r.Token == p.rev, 0
@@ -320,6 +321,7 @@
 	}
 	if pause := n.worthWaiting(h, r, orders); pause > 0 {
 		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + pause})
+		h.held++
 		return
 	}
 	n.answerWorker(in.Req, p, h, orders)
@@ -385,7 +387,7 @@
 			return 0 // has something to do at once
 		}
 	}
-	if len(h.on) == 0 && len(r.Tasks) == 0 {
+	if len(h.on) == 0 && len(r.Tasks) == h.lingering {
 		switch {
 		case !n.usable(h):
 			return 0
@@ -420,12 +422,14 @@
 	n.held = slices.DeleteFunc(n.held, func(q heldReport) bool {
 		p, h := q.part, q.host
 		if p.rev != q.term || !n.valid(p) || h.session != q.Report.Session || h.seq != q.Report.Seq {
+			h.held--
 			n.redirect(q.Req, p, h, false)
 			return true
 		}
 		if n.now < q.until && (n.pendingResults(h) || !n.startsWaiting(h)) && !h.retiring {
 			return false
 		}
+		h.held--
 		n.answerWorker(q.Req, p, h, n.reconcile(p, h, q.Report))
 		return true
 	})
@@ -535,7 +539,7 @@
 	fresh := r.Token == p.rev
 	reported := make(map[taskKey]bool, len(r.Tasks))
 	before := h.tasks
-	h.tasks = make(map[taskKey]string, len(r.Tasks))
+	h.tasks, h.lingering = make(map[taskKey]string, len(r.Tasks)), 0
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		ref, task, err := wire.SplitTask(t.Task)
@@ -546,7 +550,11 @@
 		reported[k] = true
 		a := n.active(k, h.name)
 		if t.State == wire.TaskEnded {
-			if a == nil {
+			if _, direct := h.direct[k]; a == nil && direct {
+				// A late copy of its start may still come. As long as the
+				// worker knows the attempt that has no effect.
+				h.lingering++
+			} else if a == nil {
 				// The record has let go of this attempt, so it can't be
 				// started again and may be forgotten by the worker.
 				orders = append(orders, wire.Order{Op: wire.OrderClear, Task: t.Task, Attempt: t.Attempt})
@@ -583,7 +591,10 @@
 			continue
 		}
 		last, sent := h.started[k]
-		gone := fresh && r.Seq > last
+		// A start sent to the worker's own address may still be on its way,
+		// whatever its reports say.
+		direct := h.direct[k]
+		gone := fresh && r.Seq > last && direct == nil
 		missed = missed || sent && gone
 		switch {
 		case r.Session > x.session:
@@ -591,6 +602,8 @@
 		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
 			if gone {
 				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
+			} else if direct != nil && n.now-direct.at > 2*n.cfg.Lease {
+				h.ignored = deafAfter // it took a start and never showed it
 			}
 		case gone && sent && h.ignored >= deafAfter-1:
 			// It goes on reporting and does not do what it is told. The
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -63,8 +63,13 @@
 	deaf         bool // hears neither answers nor commands
 	leavingAt    Time // when the cloud takes it away; 0: not announced
 	tasks        map[taskKey]string
-	started      map[taskKey]uint64 // report that was last answered with the start
-	errJobs      map[int]bool       // jobs that failed on it since its last success
+	started      map[taskKey]uint64       // report that was last answered with the start
+	direct       map[taskKey]*directStart // starts sent to its own address in this term and session
+	addr         string
+	held         int          // answers to it that wait
+	listed       bool         // among those with a task that they have not shown
+	lingering    int          // ended tasks in its last report that must not be cleared
+	errJobs      map[int]bool // jobs that failed on it since its last success
 	sick         bool
 	retiring     bool
 	fullUntil    Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	links  map[string]*peer.Link
 	store  *store.Client
 	cloud  *cloud.Client
+	orders *worker.Client
 
 	nextReq atomic.Uint64
 	waiting map[uint64]chan core.Reply // owned by the core's goroutine
@@ -66,7 +67,7 @@
 		return fmt.Errorf("cluster_listen: %w", err)
 	}
 	if d.Limits.Sockets > 200 {
-		public = netutil.LimitListener(public, d.Limits.Sockets-120)
+		public = netutil.LimitListener(public, d.Limits.Sockets-120-worker.MaxOrders)
 		private = netutil.LimitListener(private, 60)
 	}
 	n := &Node{
@@ -77,6 +78,7 @@
 	members := len(s.Peers) + 1
 	n.store = store.New(s.External.State, members, d.State.RPS, n.post)
 	n.cloud = cloud.New(s.External.Cloud, d.Cloud.RPS, n.post)
+	n.orders = worker.NewClient(n.post)
 	for _, p := range s.Peers {
 		n.links[p.Label] = peer.Dial(p.Address)
 	}
@@ -188,6 +190,8 @@
 		n.store.Lease(x)
 	case core.Cloud:
 		n.cloud.Call(x)
+	case core.Direct:
+		n.orders.Send(x)
 	case core.Send:
 		if l := n.links[x.To]; l != nil {
 			l.Send(x.Msg)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -119,6 +119,14 @@
 	Orders []Order `msgpack:"orders"`
 }
 
+// Orders goes to a worker's own address. It is obeyed only in the session that
+// it names and under no lower token than the worker has seen.
+type Orders struct {
+	Token   uint64  `msgpack:"mandate"`
+	Session uint64  `msgpack:"shift"`
+	Orders  []Order `msgpack:"orders"`
+}
+
 // Order is one command to a worker.
 type Order struct {
 	Op      string  `msgpack:"order"`
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -363,6 +363,29 @@
 	})
 }
 
+// take obeys orders that came to the worker's own address, once it runs and
+// nothing holds them back any more.
+func (k *workerSim) take(o wire.Orders, held func() bool, done func(core.Outcome)) {
+	if k.off {
+		return
+	}
+	if k.hung || held != nil && held() {
+		k.w.after(300*time.Millisecond, func() { k.take(o, held, done) })
+		return
+	}
+	k.lease()
+	if o.Token < k.token || o.Session != k.session {
+		done(core.Conflict)
+		return
+	}
+	k.token = o.Token
+	for _, x := range o.Orders {
+		k.execute(x)
+	}
+	k.seq++ // its answer shows what it does, as a report would
+	done(core.OK)
+}
+
 func (k *workerSim) execute(o wire.Order) {
 	w := k.w
 	ref, task, err := wire.SplitTask(o.Task)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -389,6 +389,8 @@
 			}
 			return nil
 		})
+	case core.Direct:
+		n.order(x)
 	case core.Send:
 		for _, m := range w.nodes {
 			if m.label == x.To && !w.cut(n.label, n.zone, m.label, m.zone) {
@@ -414,6 +416,53 @@
 	}
 }
 
+// order carries orders to a worker's own address. What is held back or comes
+// late may be obeyed long after the sender has given up, and twice.
+func (n *node) order(x core.Direct) {
+	w := n.w
+	var k *workerSim
+	for _, y := range w.workers {
+		if y.m.Addr == x.Addr {
+			k = y
+		}
+	}
+	says := func(d time.Duration, o core.Outcome) { n.deliver(d, core.Directed{ID: x.ID, Outcome: o}) }
+	if k == nil || k.off || w.now < k.deafTo {
+		says(700*time.Millisecond, core.Refused)
+		return
+	}
+	if w.cut(k.m.Name, k.m.Zone, n.label, n.zone) {
+		if !w.holds(k.m.Name, k.m.Zone, n.label, n.zone) || w.rng.IntN(2) == 0 {
+			says(700*time.Millisecond, core.Refused)
+			return
+		}
+		// The connection stood already when the cut began.
+		says(3*time.Second, core.Unknown)
+		k.take(x.Orders, func() bool { return w.cut(k.m.Name, k.m.Zone, n.label, n.zone) }, func(core.Outcome) {})
+		return
+	}
+	d, runs, answered := w.fate()
+	life, told := n.life, false
+	tell := func(o core.Outcome) {
+		if answered && !told && n.life == life {
+			told = true
+			says(w.latency(), o)
+		}
+	}
+	if runs {
+		w.after(d, func() { k.take(x.Orders, nil, tell) })
+	}
+	if w.now < w.copiesTo {
+		w.after(time.Second+time.Duration(w.rng.Int64N(int64(w.copyDelay))), func() { k.take(x.Orders, nil, func(core.Outcome) {}) })
+	}
+	w.after(3*time.Second, func() {
+		if !told && n.life == life {
+			told = true
+			says(0, core.Unknown)
+		}
+	})
+}
+
 func (n *node) forward(x core.Forward) {
 	w := n.w
 	for _, m := range w.nodes {
