The reserve counts what ends as well as what comes

Cause: idle machines of farm calm, 120 to 170 of 720, were kept for as many tasks as come while a machine boots, though as many end in that time.

--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"micaport/internal/wire"
 )
 
 // Objective is an aim of the users for a class: its tasks start within a time.
@@ -17,6 +19,7 @@
 	within Time
 	sample *job // the newest
 	list   []arrival
+	ends   []arrival // jobs that have given their machines back
 }
 
 type arrival struct {
@@ -41,6 +44,18 @@
 	}
 }
 
+// noteEnd counts a job of such a class that has let go of its machines.
+func (n *Node) noteEnd(was *wire.Job) {
+	if !n.leads() || was == nil || was.Spec == nil || was.State != wire.Live {
+		return
+	}
+	for _, a := range n.arrivals {
+		if a.class == was.Spec.Class {
+			a.ends = append(a.ends, arrival{n.now, len(was.Active)})
+		}
+	}
+}
+
 func (n *Node) anyUp() bool {
 	for _, p := range n.parts {
 		if len(p.hosts) > 0 {
@@ -51,18 +66,24 @@
 }
 
 // reserve is how many tasks of a class will probably come while a machine
-// boots, and half a standard deviation more, as jobs come by chance and in
-// different sizes. lead is how long a machine takes.
+// boots, less those that will end meanwhile and leave room to others, and a
+// standard deviation more, as jobs come and go by chance and in different
+// sizes. lead is how long a machine takes.
 func (a *arrivals) reserve(now, since, lead Time) int {
-	a.list = slices.DeleteFunc(a.list, func(x arrival) bool { return now-x.at > arrivalWindow })
+	old := func(x arrival) bool { return now-x.at > arrivalWindow }
+	a.list, a.ends = slices.DeleteFunc(a.list, old), slices.DeleteFunc(a.ends, old)
 	sum, squares := 0.0, 0.0
 	for _, x := range a.list {
 		sum += float64(x.frames)
 		squares += float64(x.frames) * float64(x.frames)
 	}
+	for _, x := range a.ends {
+		sum -= float64(x.frames)
+		squares += float64(x.frames) * float64(x.frames)
+	}
 	window := max(60*second, min(arrivalWindow, now-since))
 	part := lead.Seconds() / window.Seconds()
-	return int(math.Round(sum*part + math.Sqrt(squares*part)/2))
+	return int(math.Round(max(0, sum*part) + math.Sqrt(squares*part)))
 }
 
 // keepReserve plans room for what will come before a machine hired then could
