--- /dev/null
+++ b/internal/core/direct_test.go
@@ -0,0 +1,140 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"micaport/internal/wire"
+)
+
+// drive is a controller alone with a state service that carries everything
+// out at once.
+type drive struct {
+	n   *Node
+	now Time
+	rev uint64
+	out []any // effects that are not for the state service
+}
+
+func (d *drive) step(in any) {
+	for _, e := range d.n.Step(d.now, in) {
+		switch x := e.(type) {
+		case Lease:
+			d.step(Leased{ID: x.ID, Outcome: OK, Lease: max(x.Lease, 7)})
+		case Commit:
+			ch := Changes{}
+			if len(x.Writes) > 0 {
+				d.rev++
+			}
+			for _, w := range x.Writes {
+				ch.Events = append(ch.Events, Event{Key: w.Key, Rev: d.rev, Value: w.Value})
+			}
+			ch.Rev = d.rev
+			d.step(Committed{ID: x.ID, Outcome: OK, Rev: d.rev})
+			d.step(ch)
+		case Log:
+		default:
+			d.out = append(d.out, e)
+		}
+	}
+}
+
+func (d *drive) wait(t Time) {
+	for end := d.now + t; d.now < end; {
+		d.now += 50 * time.Millisecond
+		d.step(Tick{})
+	}
+}
+
+func (d *drive) put(job *wire.Job) {
+	d.rev++
+	d.step(Changes{Rev: d.rev, Events: []Event{{Key: wire.JobKey("wk-000001"), Rev: d.rev, Value: job}}})
+}
+
+func (d *drive) direct() *Direct {
+	for _, e := range d.out {
+		if x, ok := e.(Direct); ok {
+			return &x
+		}
+	}
+	return nil
+}
+
+// placedDirectly is a controller with one machine that has shown its term and on which
+// a task of a job has just been placed, and the start that it sends.
+func placedDirectly(t *testing.T) (*drive, *wire.Job, *Direct) {
+	t.Helper()
+	d := &drive{rev: 1, n: New(Config{Self: "n0", Life: "x", Zone: "a", Members: []Member{{"n0", "a"}}, Zones: []string{"a"},
+		Teams: []Team{{Name: "t"}}, Report: 8 * second, Lease: 34 * second, Validity: 28 * second, LeaderTTL: 5 * second,
+		TxnOps: 12, ValueBytes: 8192, BatchPuts: 8, WallMS: func() int64 { return 0 }})}
+	d.step(Changes{Reset: true, Rev: 1})
+	d.wait(2 * second)
+	term := d.n.parts[0].rev
+	d.report(1, 0)
+	d.report(2, term)
+	d.wait(4 * second) // its answer no longer waits
+	job := &wire.Job{Frames: 1, Next: 2, Spec: &wire.Spec{Ref: "wk-000001", Team: "t", Shape: wire.ShapeDaemon, Frames: 1, Image: "i"},
+		Active: []wire.Active{{Attempt: 1, Host: "vm-1", Session: 1}}}
+	d.put(job)
+	o := d.direct()
+	if o == nil || o.Addr != "10.0.0.9:1" || o.Orders.Token != term || o.Orders.Session != 1 || len(o.Orders.Orders) != 1 {
+		t.Fatalf("the start that goes to the machine's address is %+v", o)
+	}
+	return d, job, o
+}
+
+func (d *drive) report(seq, token uint64, tasks ...wire.Task) {
+	d.out = nil
+	d.step(Reported{Req: seq, Report: &wire.Report{Host: "vm-1", Addr: "10.0.0.9:1", Rig: "g", Zone: "a", Session: 1, Seq: seq, Token: token, Tasks: tasks}})
+}
+
+func (d *drive) orders(t *testing.T) []wire.Order {
+	t.Helper()
+	d.wait(4 * second)
+	for _, e := range d.out {
+		if r, ok := e.(Reply); ok {
+			return r.Body.(wire.ReportReply).Orders
+		}
+	}
+	t.Fatal("the report was not answered")
+	return nil
+}
+
+// A start that may still be on its way keeps its task's place in the record,
+// though the job is withdrawn and newer reports lack the task.
+func TestDirectStartMayStillArrive(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		gone    bool
+	}{{Unknown, false}, {OK, false}, {Refused, true}, {Conflict, true}} {
+		d, job, o := placedDirectly(t)
+		d.step(Directed{ID: o.ID, Outcome: c.outcome})
+		gone := clone(job)
+		gone.State = wire.Withdrawn
+		d.put(gone)
+		d.report(9, o.Orders.Token)
+		d.wait(3 * second)
+		if got := len(d.n.jobs[0].rec.Active) == 0; got != c.gone {
+			t.Errorf("outcome %d: counted as gone: %v", c.outcome, got)
+		}
+	}
+}
+
+// An attempt that was started so is not cleared: the worker would obey a late
+// copy of the start.
+func TestDirectStartIsNotCleared(t *testing.T) {
+	d, _, o := placedDirectly(t)
+	d.step(Directed{ID: o.ID, Outcome: OK})
+	ended := wire.Task{Task: "wk-000001/0", Attempt: 1, State: wire.TaskEnded, Cause: wire.CauseError}
+	d.report(9, o.Orders.Token, ended)
+	d.wait(second)
+	if len(d.n.jobs[0].rec.Active) != 0 {
+		t.Fatal("the end was not written")
+	}
+	d.report(10, o.Orders.Token, ended)
+	for _, x := range d.orders(t) {
+		if x.Op == wire.OrderClear {
+			t.Errorf("told to %+v", x)
+		}
+	}
+}
--- /dev/null
+++ b/internal/worker/client_test.go
@@ -0,0 +1,63 @@
+package worker
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// What is known about a start after it was sent decides what proves that its
+// task is gone, so only what certainly did not happen may be called refused.
+func TestOutcomes(t *testing.T) {
+	status, hang := 200, make(chan struct{})
+	var got wire.Orders
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if status == 0 {
+			<-hang
+			return
+		}
+		b := make([]byte, q.ContentLength)
+		q.Body.Read(b)
+		if err := wire.Decode(b, &got); err != nil || q.URL.Path != "/orders" {
+			t.Errorf("%s: %v", q.URL.Path, err)
+		}
+		w.WriteHeader(status)
+	}))
+	defer srv.Close()
+	defer close(hang)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String()
+	l.Close()
+	results := make(chan core.Outcome, 1)
+	c := NewClient(func(in any) { results <- in.(core.Directed).Outcome })
+	c.http.Timeout = 300 * time.Millisecond
+	for _, x := range []struct {
+		addr   string
+		status int
+		want   core.Outcome
+	}{
+		{srv.Listener.Addr().String(), 200, core.OK},
+		{srv.Listener.Addr().String(), 409, core.Conflict},
+		{srv.Listener.Addr().String(), 500, core.Unknown},
+		{srv.Listener.Addr().String(), 0, core.Unknown},
+		{closed, 200, core.Refused},
+	} {
+		status = x.status
+		c.Send(core.Direct{ID: 1, Addr: x.addr, Orders: wire.Orders{Token: 41, Session: 3,
+			Orders: []wire.Order{{Op: wire.OrderStart, Task: "wk-000001/0", Attempt: 2}}}})
+		if out := <-results; out != x.want {
+			t.Errorf("status %d: outcome %d, want %d", x.status, out, x.want)
+		}
+	}
+	if got.Token != 41 || got.Session != 3 || len(got.Orders) != 1 || got.Orders[0].Attempt != 2 {
+		t.Errorf("the worker got %+v", got)
+	}
+}
