--- a/internal/worker/client_test.go
+++ b/internal/worker/client_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,19 +15,22 @@
 // What is known about a start after it was sent decides what proves that its
 // task is gone, so only what certainly did not happen may be called refused.
 func TestOutcomes(t *testing.T) {
-	status, hang := 200, make(chan struct{})
-	var got wire.Orders
+	var status atomic.Int32
+	hang := make(chan struct{})
+	orders := make(chan wire.Orders, 8)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if status == 0 {
+		if status.Load() == 0 {
 			<-hang
 			return
 		}
 		b := make([]byte, q.ContentLength)
 		q.Body.Read(b)
+		var got wire.Orders
 		if err := wire.Decode(b, &got); err != nil || q.URL.Path != "/orders" {
 			t.Errorf("%s: %v", q.URL.Path, err)
 		}
-		w.WriteHeader(status)
+		orders <- got
+		w.WriteHeader(int(status.Load()))
 	}))
 	defer srv.Close()
 	defer close(hang)
@@ -41,7 +45,7 @@
 	c.http.Timeout = 300 * time.Millisecond
 	for _, x := range []struct {
 		addr   string
-		status int
+		status int32
 		want   core.Outcome
 	}{
 		{srv.Listener.Addr().String(), 200, core.OK},
@@ -50,14 +54,14 @@
 		{srv.Listener.Addr().String(), 0, core.Unknown},
 		{closed, 200, core.Refused},
 	} {
-		status = x.status
+		status.Store(x.status)
 		c.Send(core.Direct{ID: 1, Addr: x.addr, Orders: wire.Orders{Token: 41, Session: 3,
 			Orders: []wire.Order{{Op: wire.OrderStart, Task: "wk-000001/0", Attempt: 2}}}})
 		if out := <-results; out != x.want {
 			t.Errorf("status %d: outcome %d, want %d", x.status, out, x.want)
 		}
 	}
-	if got.Token != 41 || got.Session != 3 || len(got.Orders) != 1 || got.Orders[0].Attempt != 2 {
+	if got := <-orders; got.Token != 41 || got.Session != 3 || len(got.Orders) != 1 || got.Orders[0].Attempt != 2 {
 		t.Errorf("the worker got %+v", got)
 	}
 }
