--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -92,10 +92,15 @@
 	w.Write(b)
 }
 
-// Server bounds slow and half-open connections.
-func Server(h http.Handler) *http.Server {
+// Server bounds slow and half-open connections. A connection that has been idle
+// for a worker's lease is of no use to its worker any more. With nearly as many
+// connections as there is room for, the one that has been idle longest makes way:
+// those of dead machines and of machines behind a cut are idle longest, and
+// would lock out users, probes and the workers of a controller that has ended.
+func Server(h http.Handler, lease time.Duration, room int) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
-		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 8 << 10,
+		WriteTimeout: 15 * time.Second, IdleTimeout: lease, MaxHeaderBytes: 8 << 10,
+		ConnState: newCrowd(room - max(1, room/16)).note,
 	}
 }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -43,6 +43,7 @@
 
 // Call runs one call of the core.
 func (c *Client) Call(q core.Cloud) {
+	decided := time.Now()
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
@@ -53,7 +54,8 @@
 		} else {
 			c.giveWay(ctx)
 		}
-		if c.limit.Wait(ctx) == nil {
+		waited := c.limit.Wait(ctx)
+		if late := (q.Hire != nil || q.Return != nil) && time.Since(decided) > q.Within; waited == nil && !late {
 			switch {
 			case q.Flavors:
 				var f wire.Flavors
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -38,7 +38,7 @@
 // "no capacity" says to try another pool, trouble to try again, and no answer
 // that the hire may have been carried out.
 func TestHireOutcomes(t *testing.T) {
-	hire := core.Cloud{ID: 4, Hire: &wire.Hire{Name: "r-1-1", Rig: "g2", Zone: "a", Count: 2}}
+	hire := core.Cloud{ID: 4, Within: time.Minute, Hire: &wire.Hire{Name: "r-1-1", Rig: "g2", Zone: "a", Count: 2}}
 	for _, c := range []struct {
 		status int
 		body   any
@@ -74,3 +74,16 @@
 		t.Errorf("got %+v", r)
 	}
 }
+
+// What was decided long ago is not sent: another leads by then, and the
+// machines may be in use.
+func TestLateReturnIsNotSent(t *testing.T) {
+	sent := false
+	r := call(t, func(w http.ResponseWriter, r *http.Request) {
+		sent = true
+		reply(w, 200, map[string]any{})
+	}, core.Cloud{ID: 5, Return: []string{"vm-1"}, Within: time.Nanosecond})
+	if sent || r.Outcome != core.Refused || r.ID != 5 {
+		t.Errorf("sent: %v, got %+v", sent, r)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -170,6 +170,32 @@
 	return min(room, lease-Margin(lease)-time.Second)
 }
 
+// What a controller needs of its sockets besides those for users and workers:
+// requests to the state service (8), its watch (2) and the cloud (3), two
+// listeners, orders to machines, connections to and from each peer with one
+// more each for a moment of change, and a few for the runtime.
+const (
+	ownSockets = 8 + 2 + 3 + 2 + 5
+	// OrderSockets are for telling machines something directly.
+	OrderSockets = 32
+)
+
+// PeerSockets is how many connections of peers are taken at a time: each makes
+// a new one when an answer is late, and old ones may linger behind a cut.
+func (s *Settings) PeerSockets() int { return 8*len(s.Peers) + 8 }
+
+// PublicSockets is how many connections of users and workers are taken.
+func (s *Settings) PublicSockets() int {
+	return s.Deployment.Limits.Sockets - ownSockets - OrderSockets - s.PeerSockets() - len(s.Peers)
+}
+
+// leastPublic is how many users and workers a controller must be able to take
+// to serve at all, and leastMemory the MB that its program takes by itself.
+const (
+	leastPublic = 16
+	leastMemory = 24
+)
+
 // Seconds turns a decimal number of seconds into a duration.
 func Seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
@@ -249,6 +275,12 @@
 	positive("state.value_kb", d.State.ValueKB)
 	positive("state.txn_ops", float64(d.State.TxnOps))
 	positive("cloud.rps", d.Cloud.RPS)
+	if d.Limits.Sockets != 0 && s.PublicSockets() < leastPublic {
+		bad("limits.fd_limit: %d sockets leave %d for users and workers, at least %d are needed", d.Limits.Sockets, max(0, s.PublicSockets()), leastPublic)
+	}
+	if d.Limits.MemoryMB != 0 && d.Limits.MemoryMB < leastMemory {
+		bad("limits.mem_mb: %v is less than the %d that a controller takes by itself", d.Limits.MemoryMB, leastMemory)
+	}
 	if d.Workers.LeaseS > 0 && d.Workers.CancelS > 0 && d.Workers.ReportS > 0 {
 		if v := s.Validity(); v < 2*Seconds(d.Workers.ReportS) {
 			bad("workers: cancel_s %v leaves no time beyond lease_s %v for an owner's validity", d.Workers.CancelS, d.Workers.LeaseS)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// All sockets together stay within the limit, and nearly all are for users and
+// workers, as one controller may have to serve the workers of all.
+func TestSockets(t *testing.T) {
+	s, err := Load(write(t, "s.json", strings.Replace(sound, "1200", "3389", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest := s.PeerSockets() + OrderSockets + ownSockets + len(s.Peers)
+	if public := s.PublicSockets(); public+rest > 3389 || public < 3200 {
+		t.Errorf("%d sockets for users and workers, %d for the rest", public, rest)
+	}
+	// Few are a fault only when it can't serve at all.
+	if _, err := Load(write(t, "s.json", strings.Replace(sound, "1200", "150", 1))); err != nil {
+		t.Error(err)
+	}
+}
+
 // Every fault is named at once, so that operators need not find them one by
 // one.
 func TestEveryFaultIsNamed(t *testing.T) {
@@ -52,6 +69,7 @@
 	d["workers"].(map[string]any)["cancel_s"] = 31
 	d["teams"].([]any)[0].(map[string]any)["gpus"] = 9
 	d["state"].(map[string]any)["rps"] = 0
+	d["limits"] = map[string]any{"mem_mb": 8, "fd_limit": 40}
 	b, err := json.Marshal(m)
 	if err != nil {
 		t.Fatal(err)
@@ -60,7 +78,7 @@
 	if err == nil {
 		t.Fatal("faulty settings were taken")
 	}
-	for _, want := range []string{"label is missing", "bind", "size is 5", `site "a"`, "cancel_s", "team red", "state.rps"} {
+	for _, want := range []string{"label is missing", "bind", "size is 5", `site "a"`, "cancel_s", "team red", "state.rps", "fd_limit", "mem_mb"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not named in:\n%v", want, err)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,7 @@
 		List    bool
 		Hire    *wire.Hire
 		Return  []string
+		Within  Time // how long after this a hire or return may be sent
 	}
 	// Direct sends orders to a worker's own address; Directed says what became
 	// of them.
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -66,6 +66,9 @@
 		}
 		f(r)
 	})
+	// A process that stood still must not send what it decided before: another
+	// leads by then, and the machines may be in use.
+	c.Within = n.cfg.LeaderTTL
 	n.emit(c)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,7 +30,9 @@
 type Node struct {
 	log    *slog.Logger
 	start  time.Time
-	inputs chan any
+	inputs chan any   // what the state service, the cloud and peers say
+	users  chan asked // requests of users, also those that peers hand on
+	hosts  chan asked // reports of workers
 	core   *core.Node
 	links  map[string]*peer.Link
 	store  *store.Client
@@ -66,12 +68,17 @@
 	if err != nil {
 		return fmt.Errorf("cluster_listen: %w", err)
 	}
-	if d.Limits.Sockets > 200 {
-		public = netutil.LimitListener(public, d.Limits.Sockets-120-worker.MaxOrders)
-		private = netutil.LimitListener(private, 60)
+	room := maxQueue
+	if d.Limits.Sockets > 0 {
+		room = s.PublicSockets()
+		public = netutil.LimitListener(public, room)
+		private = netutil.LimitListener(private, s.PeerSockets())
 	}
 	n := &Node{
+		// A connection has one request under way at most, so with as many
+		// places as sockets nothing is refused for want of a place.
 		log: log, start: time.Now(), inputs: make(chan any, 1024),
+		users: make(chan asked, min(room, maxQueue)), hosts: make(chan asked, min(room, maxQueue)),
 		links: map[string]*peer.Link{}, waiting: map[uint64]chan core.Reply{},
 	}
 	n.core = core.New(coreConfig(s, op))
@@ -83,12 +90,13 @@
 		n.links[p.Label] = peer.Dial(p.Address)
 	}
 	r := httprouter.New()
-	api.Routes(r, n.ask, n.ready.Load)
-	worker.Routes(r, n.ask)
+	askUser, askHost := n.asker(n.users), n.asker(n.hosts)
+	api.Routes(r, askUser, n.ready.Load)
+	worker.Routes(r, askHost)
 	fail := make(chan error, 3)
-	srv := api.Server(r)
+	srv := api.Server(r, config.Seconds(d.Workers.LeaseS), room)
 	go func() { fail <- srv.Serve(public) }()
-	go func() { fail <- peer.Serve(private, n.post, n.ask) }()
+	go func() { fail <- peer.Serve(private, n.post, askUser) }()
 	go n.store.Watch(ctx)
 	go n.run(ctx)
 	log.Info("serving", "node", s.Label, "bind", s.Bind, "validity", s.Validity())
@@ -138,38 +146,61 @@
 // post gives the core an input.
 func (n *Node) post(in any) { n.inputs <- in }
 
-// ask gives the core a request and waits for its reply.
-func (n *Node) ask(make_ func(req uint64) any) (core.Reply, bool) {
-	a := asked{req: n.nextReq.Add(1), reply: make(chan core.Reply, 1)}
-	a.in = make_(a.req)
+// maxQueue bounds the requests that wait in one queue: what is behind so many
+// is answered too late to be of use.
+const maxQueue = 8192
+
+// asker makes a function that gives the core a request by way of a queue and
+// waits for its reply.
+func (n *Node) asker(queue chan asked) api.Ask {
+	return func(make_ func(req uint64) any) (core.Reply, bool) {
+		a := asked{req: n.nextReq.Add(1), reply: make(chan core.Reply, 1)}
+		a.in = make_(a.req)
+		select {
+		case queue <- a:
+		default:
+			return core.Reply{}, false
+		}
+		select {
+		case r := <-a.reply:
+			return r, true
+		case <-time.After(6 * time.Second):
+			return core.Reply{}, false
+		}
+	}
+}
+
+// next waits for an input. What the state service and peers say goes first: a
+// herd of requests must not hold up renewals and the watch. Users and workers
+// take turns by chance.
+func (n *Node) next(ctx context.Context, tick <-chan time.Time) any {
 	select {
-	case n.inputs <- a:
+	case in := <-n.inputs:
+		return in
 	default:
-		return core.Reply{}, false
 	}
+	var a asked
 	select {
-	case r := <-a.reply:
-		return r, true
-	case <-time.After(6 * time.Second):
-		return core.Reply{}, false
+	case <-ctx.Done():
+		return nil
+	case <-tick:
+		return core.Tick{}
+	case in := <-n.inputs:
+		return in
+	case a = <-n.users:
+	case a = <-n.hosts:
 	}
+	n.waiting[a.req] = a.reply
+	return a.in
 }
 
 func (n *Node) run(ctx context.Context) {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	for {
-		var in any
-		select {
-		case <-ctx.Done():
+		in := n.next(ctx, tick.C)
+		if in == nil {
 			return
-		case <-tick.C:
-			in = core.Tick{}
-		case in = <-n.inputs:
-		}
-		if a, ok := in.(asked); ok {
-			n.waiting[a.req] = a.reply
-			in = a.in
 		}
 		for _, e := range n.core.Step(time.Since(n.start), in) {
 			n.perform(e)
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"testing"
+
+	"micaport/internal/core"
+)
+
+// A herd of workers or users does not hold up what the state service says, nor
+// does either keep the other from being served.
+func TestOrderOfInputs(t *testing.T) {
+	n := &Node{inputs: make(chan any, 8), users: make(chan asked, 200), hosts: make(chan asked, 200), waiting: map[uint64]chan core.Reply{}}
+	for i := range 200 {
+		n.hosts <- asked{req: uint64(i), in: core.Reported{}}
+		n.users <- asked{req: uint64(1000 + i), in: core.UserRequest{}}
+	}
+	n.inputs <- core.Leased{ID: 1}
+	n.inputs <- core.Changes{Rev: 2}
+	ctx := context.Background()
+	if _, ok := n.next(ctx, nil).(core.Leased); !ok {
+		t.Error("the answer of the state service did not come first")
+	}
+	if _, ok := n.next(ctx, nil).(core.Changes); !ok {
+		t.Error("the watch did not come before the requests")
+	}
+	reports := 0
+	for range 200 {
+		if _, ok := n.next(ctx, nil).(core.Reported); ok {
+			reports++
+		}
+	}
+	if reports < 50 || reports > 150 {
+		t.Errorf("%d of 200 requests taken were reports", reports)
+	}
+}
+
+// A request for which there is no place is refused at once.
+func TestFullQueueRefuses(t *testing.T) {
+	n := &Node{users: make(chan asked, 1)}
+	n.users <- asked{}
+	if _, ok := n.asker(n.users)(func(uint64) any { return nil }); ok {
+		t.Error("a request got a reply from a full queue")
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -54,10 +54,24 @@
 		if err != nil {
 			return err
 		}
-		go srv.ServeConn(c)
+		go srv.ServeConn(timed{c})
 	}
 }
 
+// timed is a connection that ends when nothing has come for a while. A peer
+// speaks every second; what is left of one that has gone without a word must
+// not take the place of its next life.
+type timed struct{ net.Conn }
+
+const peerSilence = 20 * time.Second
+
+func (c timed) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(peerSilence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
 // Link is the way to one peer. Messages wait in a mailbox of one, where a
 // newer message replaces an older: each says all that there is to say.
 type Link struct {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"micaport/internal/config"
 	"micaport/internal/core"
 	"micaport/internal/wire"
 )
@@ -20,10 +21,6 @@
 	post  func(any)
 }
 
-// MaxOrders is how many machines are told something at once, and so how many
-// sockets that takes.
-const MaxOrders = 32
-
 // NewClient makes a client. Connections are not kept: a machine is told
 // something now and then, and there are many of them.
 func NewClient(post func(any)) *Client {
@@ -32,7 +29,7 @@
 			DialContext:       (&net.Dialer{Timeout: 700 * time.Millisecond}).DialContext,
 			DisableKeepAlives: true, DisableCompression: true,
 		}},
-		slots: make(chan struct{}, MaxOrders),
+		slots: make(chan struct{}, config.OrderSockets),
 		post:  post,
 	}
 }
