--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -262,31 +262,32 @@
 	images    wire.Interner
 	peers     map[string]*peer
 
-	storeOK    bool
-	storeSince Time // since when it has served us
-	storeAt    Time // last proof that the state service serves us
-	partLease  lease
-	leadLease  lease
-	checkAt    Time
-	checks     []check
-	gossipAt   Time
-	gossipLast Time
-	ver        uint64      // of our view of our own machines
-	told       []change    // in order of version
-	strayed    []int       // machines of others that came here lately
-	kept       map[int]int // machines that the leader keeps for a job
-	keptAt     Time
-	retiring   []int // machines that the leader wants emptied
-	tidyAt     Time
-	ownInfoAt  Time
-	heldAt     Time
-	usersAt    Time
-	puts       purse
-	arrivals   []*arrivals
-	work       uint64 // machines looked at so far
-	roomAt     Time
-	imagesAt   Time
-	imagesKept int // entries in the record of images as last written
+	storeOK     bool
+	storeSince  Time // since when it has served us
+	storeAt     Time // last proof that the state service serves us
+	partLease   lease
+	leadLease   lease
+	checkAt     Time
+	checks      []check
+	gossipAt    Time
+	gossipLast  Time
+	ver         uint64      // of our view of our own machines
+	told        []change    // in order of version
+	strayed     []int       // machines of others that came here lately
+	kept        map[int]int // machines that the leader keeps for a job
+	keptAt      Time
+	retiring    []int // machines that the leader wants emptied
+	tidyAt      Time
+	ownInfoAt   Time
+	heldAt      Time
+	usersAt     Time
+	puts        purse
+	arrivals    []*arrivals
+	countedFrom Time   // since when arrivals are counted; 0: not yet
+	work        uint64 // machines looked at so far
+	roomAt      Time
+	imagesAt    Time
+	imagesKept  int // entries in the record of images as last written
 
 	held      []heldReport
 	unstarted []int // machines of ours with a task that they have not shown
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -30,28 +30,37 @@
 // arrivalWindow is how far back arrivals are counted.
 const arrivalWindow = 150 * second
 
-// noteArrival counts a new job of a class that is to start at once. What comes
-// while nothing is up yet is a backlog and says nothing about the rate.
+// counting tells whether what comes and ends is counted. What comes while
+// nothing is up yet is a backlog and says nothing about the rate. Every
+// controller counts, so that a new leader knows what the last one did.
+func (n *Node) counting() bool {
+	if n.countedFrom == 0 && n.loaded && n.anyUp() {
+		n.countedFrom = n.now
+	}
+	return n.countedFrom > 0
+}
+
+// noteArrival counts a new job of a class that is to start at once.
 func (n *Node) noteArrival(j *job) {
-	if !n.leads() || n.now-n.leader.since < 5*second || !n.anyUp() {
+	if !n.counting() {
 		return
 	}
 	for _, a := range n.arrivals {
 		if a.class == j.rec.Spec.Class {
 			a.sample = j
-			a.list = append(a.list, arrival{n.now, min(j.rec.Frames, n.activeLimit())})
+			a.list = append(a.forget(n.now).list, arrival{n.now, min(j.rec.Frames, n.activeLimit())})
 		}
 	}
 }
 
 // noteEnd counts a job of such a class that has let go of its machines.
 func (n *Node) noteEnd(was *wire.Job) {
-	if !n.leads() || was == nil || was.Spec == nil || was.State != wire.Live {
+	if !n.counting() || was.Spec == nil || was.State != wire.Live {
 		return
 	}
 	for _, a := range n.arrivals {
 		if a.class == was.Spec.Class {
-			a.ends = append(a.ends, arrival{n.now, len(was.Active)})
+			a.ends = append(a.forget(n.now).ends, arrival{n.now, len(was.Active)})
 		}
 	}
 }
@@ -65,13 +74,19 @@
 	return false
 }
 
+// forget drops what came before the window.
+func (a *arrivals) forget(now Time) *arrivals {
+	old := func(x arrival) bool { return now-x.at > arrivalWindow }
+	a.list, a.ends = slices.DeleteFunc(a.list, old), slices.DeleteFunc(a.ends, old)
+	return a
+}
+
 // reserve is how many tasks of a class will probably come while a machine
 // boots, less those that will end meanwhile and leave room to others, and a
 // standard deviation more, as jobs come and go by chance and in different
 // sizes. lead is how long a machine takes.
 func (a *arrivals) reserve(now, since, lead Time) int {
-	old := func(x arrival) bool { return now-x.at > arrivalWindow }
-	a.list, a.ends = slices.DeleteFunc(a.list, old), slices.DeleteFunc(a.ends, old)
+	a.forget(now)
 	sum, squares := 0.0, 0.0
 	for _, x := range a.list {
 		sum += float64(x.frames)
@@ -102,7 +117,7 @@
 		if lead == 0 || lead+n.imageTime(j) < a.within {
 			continue
 		}
-		for range a.reserve(n.now, n.leader.since, lead) {
+		for range a.reserve(n.now, n.countedFrom, lead) {
 			s := p.up.best(j, nil, nil)
 			if s == nil {
 				s = p.hope.best(j, nil, nil)
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -206,6 +206,12 @@
 		w.blink(w.now + dur(0))
 	case "hang", "take", "sick", "recall", "mute", "reset":
 		return w.machineVerb(verb, args)
+	case "many": // COUNT of the machines that are up, a machine's trouble, seconds
+		up := w.up()
+		w.rng.Shuffle(len(up), func(i, k int) { up[i], up[k] = up[k], up[i] })
+		for _, k := range up[:min(len(up), int(num(0)))] {
+			w.trouble(args[1], k, dur(2))
+		}
 	case "storm": // seconds
 		w.storm(w.now + dur(0))
 	case "bulk": // COUNT jobs, one a second, each withdrawn SECONDS later if not 0
