--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -307,7 +308,7 @@
 // those are for whole-machine gangs and daemons, and cost several times more.
 func (p *plan) keepsOrdinary(w *want) bool {
 	j, sp := w.j, w.j.rec.Spec
-	if !sp.Spot || j.prio >= 2 || j.blockedSince > 0 && p.n.now-j.blockedSince > patienceForSpot {
+	if !sp.Spot || j.prio >= 2 || j.blockedSince != 0 && p.n.now-j.blockedSince > patienceForSpot {
 		return false
 	}
 	for _, c := range p.hope.order {
@@ -326,9 +327,19 @@
 // patienceForSpot is about the time that a machine takes to boot and more.
 const patienceForSpot = 40 * second
 
+// blocked notes since when a job has waited. What was never granted has waited
+// since it was accepted: a new leader must not make it begin anew, or with a
+// leader that ends every minute a gang's turn to gather room never comes.
 func (p *plan) blocked(j *job) {
+	if j.blockedSince != 0 {
+		return
+	}
+	j.blockedSince = p.n.now
+	if j.rec.Next == 1 {
+		j.blockedSince -= max(0, Time(p.n.cfg.WallMS()-j.rec.At)*time.Millisecond)
+	}
 	if j.blockedSince == 0 {
-		j.blockedSince = p.n.now
+		j.blockedSince = -1
 	}
 }
 
