--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -84,21 +84,25 @@
 // reserve is how many tasks of a class will probably come while a machine
 // boots, less those that will end meanwhile and leave room to others, and a
 // standard deviation more, as jobs come and go by chance and in different
-// sizes. lead is how long a machine takes.
+// sizes. It is never more than may come: where nothing comes any more, what
+// ends needs no room. lead is how long a machine takes.
 func (a *arrivals) reserve(now, since, lead Time) int {
 	a.forget(now)
-	sum, squares := 0.0, 0.0
-	for _, x := range a.list {
-		sum += float64(x.frames)
-		squares += float64(x.frames) * float64(x.frames)
-	}
-	for _, x := range a.ends {
-		sum -= float64(x.frames)
-		squares += float64(x.frames) * float64(x.frames)
-	}
 	window := max(60*second, min(arrivalWindow, now-since))
 	part := lead.Seconds() / window.Seconds()
-	return int(math.Round(max(0, sum*part) + math.Sqrt(squares*part)))
+	come, comeVar := tally(a.list, part)
+	end, endVar := tally(a.ends, part)
+	net := max(0, come-end) + math.Sqrt(comeVar+endVar)
+	return int(math.Round(min(net, come+math.Sqrt(comeVar))))
+}
+
+// tally gives the mean and the variance of the tasks in a part of the window.
+func tally(list []arrival, part float64) (mean, variance float64) {
+	for _, x := range list {
+		mean += float64(x.frames) * part
+		variance += float64(x.frames) * float64(x.frames) * part
+	}
+	return mean, variance
 }
 
 // keepReserve plans room for what will come before a machine hired then could
