--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -154,6 +154,11 @@
 	// 40 bytes are ample for a machine, with six images; names and the rest
 	// stay well within a quarter of the value.
 	short := n.withChanges(m, base, max(1, n.cfg.ValueBytes*5/8/40))
+	if short.Ver < n.ver {
+		// More is to be told than fits. With hundreds of machines up at once
+		// the leader would plan without most of them for a while.
+		n.roomAt = n.now + max(second, Time(float64(n.cfg.Report)*n.scarcity()))
+	}
 	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
 }
 
