--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"micaport/internal/wire"
@@ -600,109 +599,6 @@
 	}
 }
 
-// batch is a commit of several records that is retried until its outcome is
-// certain. Until then, and until our copy of the records has caught up with
-// it, no other batch of the same role is made; so a late copy of it can never
-// add to what a later one decides.
-type batch struct {
-	name    string
-	active  bool
-	waiting bool
-	unsure  bool // an earlier sending may yet be carried out
-	conds   []Cond
-	writes  []Write
-	extra   []Write // writes that belong together with others of the batch
-	until   uint64  // revision that our copy must reach
-	retryAt Time
-	onOK    func()
-	gen     uint64
-}
-
-func (b *batch) start(n *Node, conds []Cond, writes, extra []Write, onOK func()) {
-	b.gen++
-	b.active, b.waiting, b.unsure, b.until = true, false, false, 0
-	b.conds, b.writes, b.extra, b.onOK = conds, writes, extra, onOK
-	b.send(n)
-}
-
-func (b *batch) send(n *Node) {
-	b.waiting = true
-	gen := b.gen
-	n.commit(Bulk, b.conds, b.writes, func(c Committed) {
-		if gen != b.gen || !b.active {
-			return
-		}
-		b.waiting = false
-		n.log(0, "wrote", "role", b.name, "puts", len(b.writes), "outcome", int(c.Outcome))
-		switch c.Outcome {
-		case OK:
-			if b.onOK != nil {
-				b.onOK()
-			}
-			b.until = c.Rev
-		case Conflict:
-			n.log(0, "commit lost a race", "role", b.name, "rev", c.Rev)
-			if b.without(c.Failed) {
-				b.send(n)
-				return
-			}
-			b.until = max(c.Rev, 1)
-		case Refused, BadLease:
-			if !b.unsure {
-				b.active = false
-			}
-			b.retryAt = n.now + 400*time.Millisecond
-		default:
-			b.unsure = true
-			b.retryAt = n.now + 300*time.Millisecond
-		}
-		b.settle(n)
-	})
-}
-
-// settle ends the batch once our copy shows its outcome.
-func (b *batch) settle(n *Node) {
-	if b.active && b.until > 0 && n.rev >= b.until {
-		b.active = false
-	}
-}
-
-// ready tells whether a new batch may be made, and resends an unsure one.
-func (b *batch) ready(n *Node) bool {
-	if !b.active {
-		return n.now >= b.retryAt && n.mayPut() >= 1
-	}
-	if !b.waiting && b.until == 0 && n.now >= b.retryAt {
-		b.send(n)
-	}
-	return false
-}
-
-// without takes the records out of the batch that others have changed, so
-// that the rest need not wait for a new decision. It tells whether that can
-// be done: only records of jobs stand for themselves, and only in a batch that
-// was not sent before without an answer.
-func (b *batch) without(failed []string) bool {
-	if b.unsure || len(failed) == 0 || len(b.extra) > 0 {
-		return false
-	}
-	for _, key := range failed {
-		if !strings.HasPrefix(key, wire.JobPrefix) {
-			return false
-		}
-	}
-	b.conds = slices.DeleteFunc(b.conds, func(c Cond) bool { return slices.Contains(failed, c.Key) })
-	b.writes = slices.DeleteFunc(b.writes, func(w Write) bool { return slices.Contains(failed, w.Key) })
-	return len(b.writes) > 0
-}
-
-// drop forgets the batch; the role that made it has been lost, and with it
-// the condition under which the batch could still be carried out.
-func (b *batch) drop() {
-	b.gen++
-	b.active, b.waiting, b.retryAt = false, false, 0
-}
-
 // runChecks proves every couple of seconds that we still hold what we act on.
 func (n *Node) runChecks() {
 	if n.now < n.checkAt {
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -2,11 +2,10 @@
 
 import "micaport/internal/wire"
 
-// directStart is a start that was sent to a worker's own address. The worker
-// may carry it out at any time while its session and our term last, a copy of
-// it too, so until then the task counts as there and, once it has ended, is not
-// cleared. See "Starts at a worker's own address" in docs/design.md.
-type directStart struct{ at Time }
+// A start that was sent to a worker's own address may be carried out at any time
+// while the worker's session and our term last, and so may a copy of it. Until
+// then its task counts as there and, once it has ended, is not cleared. See
+// "Starts at a worker's own address" in docs/design.md.
 
 // directLimit bounds the starts of a machine's session that go to its own
 // address, as each leaves an ended task in its reports: a kilobyte in all.
@@ -56,7 +55,8 @@
 		k, j := x.taskKey, n.jobs[x.job]
 		_, there := h.tasks[k]
 		_, over := n.results[k]
-		if there || over || h.started[k] > 0 || h.direct[k] != nil || x.session != h.session || x.stop != wire.Keep ||
+		_, sent := h.direct[k]
+		if there || over || sent || h.started[k] > 0 || x.session != h.session || x.stop != wire.Keep ||
 			j.rec.State != wire.Live || len(h.direct)+len(orders) >= directLimit {
 			continue
 		}
@@ -71,7 +71,7 @@
 		return
 	}
 	for _, k := range keys {
-		h.direct[k] = &directStart{n.now}
+		h.direct[k] = n.now
 	}
 	term, session := h.term, h.session
 	id := n.id(func(in any) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -63,8 +63,8 @@
 	deaf         bool // hears neither answers nor commands
 	leavingAt    Time // when the cloud takes it away; 0: not announced
 	tasks        map[taskKey]string
-	started      map[taskKey]uint64       // report that was last answered with the start
-	direct       map[taskKey]*directStart // starts sent to its own address in this term and session
+	started      map[taskKey]uint64 // report that was last answered with the start
+	direct       map[taskKey]Time   // starts sent to its own address in this term and session: when
 	addr         string
 	held         int          // answers to it that wait
 	listed       bool         // among those with a task that they have not shown
