A machine that was forgotten and reports again does not end its controller

Found by reading: after three leases of silence, without the cloud's answer to its return, a machine's memory was let go but not its term, and the next start was noted in a map that was gone. The test panicked before. Machines silent for so long are to be expected where a zone is cut for minutes and the cloud is in trouble.

--- a/internal/core/direct_test.go
+++ b/internal/core/direct_test.go
@@ -138,3 +138,33 @@
 		}
 	}
 }
+
+// A machine that was silent for so long that it was forgotten may report again
+// in the same term, after a cut or a hang in which the cloud did not answer
+// either. It once ended the controller, as a start was noted in what had been
+// let go.
+func TestForgottenMachineReportsAgain(t *testing.T) {
+	d, job, o := placedDirectly(t)
+	d.step(Directed{ID: o.ID, Outcome: Conflict})
+	rec := clone(job)
+	rec.Active = nil
+	d.put(rec)
+	d.wait(4 * d.n.cfg.Lease)
+	if len(d.n.parts[0].hosts) != 0 {
+		t.Fatal("the machine was not forgotten")
+	}
+	term := o.Orders.Token
+	d.report(50, term)
+	d.report(51, term)
+	again := clone(job)
+	again.Active = []wire.Active{{Attempt: 2, Host: "vm-1", Session: 1}}
+	d.put(again)
+	d.report(52, term)
+	started := d.direct() != nil
+	for _, x := range d.orders(t) {
+		started = started || x.Op == wire.OrderStart && x.Attempt == 2
+	}
+	if !started {
+		t.Error("nothing was started on it")
+	}
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -115,7 +115,8 @@
 			silent := n.valid(p) && h.term == p.rev && n.now-h.heard > 3*n.cfg.Lease
 			if len(h.on) == 0 && (h.returned || silent || h.info.lost && !n.holds(p) && n.now-p.changed > 3*n.cfg.Lease) {
 				n.setPart(h, -1)
-				h.info, h.tasks, h.started, h.errJobs, h.images = view{}, nil, nil, nil, nil
+				h.info, h.tasks, h.started, h.direct, h.errJobs, h.images = view{}, nil, nil, nil, nil, nil
+				h.term = 0 // if it reports again, it is learnt anew
 			}
 		}
 	}
