--- a/internal/core/reserve_test.go
+++ b/internal/core/reserve_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"micaport/internal/wire"
+)
 
 // The reserve follows what comes less what ends. It once kept machines for
 // classes of which nothing came any more, as much had lately ended.
@@ -29,3 +33,24 @@
 		}
 	}
 }
+
+// A controller that does not lead counts too: a new leader that began without
+// any count kept no reserve for a minute.
+func TestFollowersCount(t *testing.T) {
+	n := New(Config{Self: "n0", Zone: "a", Members: []Member{{"n0", "a"}, {"n1", "a"}}, Zones: []string{"a"},
+		Waits: []Objective{{Class: "c", Within: 20 * second}}, TxnOps: 12, ValueBytes: 8192, WallMS: func() int64 { return 0 }})
+	n.Step(second, Changes{Reset: true, Rev: 1, Events: []Event{{Key: wire.LeaderKey, Rev: 1, Value: &wire.Leader{Node: "n1"}}}})
+	put := func(rev uint64, ref string, j *wire.Job) {
+		n.Step(second, Changes{Rev: rev, Events: []Event{{Key: wire.JobKey(ref), Rev: rev, Value: j}}})
+	}
+	job := func(ref string) *wire.Job {
+		return &wire.Job{Frames: 2, Next: 2, Spec: &wire.Spec{Ref: ref, Class: "c", Shape: wire.ShapeGang, Frames: 2, Image: "i"},
+			Active: []wire.Active{{Attempt: 1, Host: "vm-1", Session: 1}, {Task: 1, Attempt: 1, Host: "vm-2", Session: 1}}}
+	}
+	put(2, "wk-000001", job("wk-000001"))
+	put(3, "wk-000002", job("wk-000002"))
+	put(4, "wk-000001", &wire.Job{State: wire.Done, Frames: 2, Next: 2})
+	if a := n.arrivals[0]; len(a.list) != 1 || len(a.ends) != 1 || a.ends[0].frames != 2 {
+		t.Errorf("counted %v, ended %v", a.list, a.ends)
+	}
+}
