Arrays of many small tasks in runs; a grant places where the leader owns; starts that come too late

Neighbouring tasks with one attempt on one machine are now one entry of the record, bulk arrays are granted and placed in runs, their ends gathered and written by runs where the record is full. The leader chooses the machine itself where it owns the part (one put for two). Work of low urgency without a guarantee hires no ordinary machines. Users' puts are counted and left room for.

--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -104,6 +104,16 @@
 	return len(b.writes) > 0
 }
 
+// holds tells whether the batch is about to change a record: what another role
+// of ours decides on the copy that we have would lose against it.
+func (b *batch) holds(j *job) bool {
+	if !b.active {
+		return false
+	}
+	key := wire.JobKey(j.ref)
+	return slices.ContainsFunc(b.writes, func(w Write) bool { return w.Key == key })
+}
+
 // drop forgets the batch; the role that made it has been lost, and with it
 // the condition under which the batch could still be carried out.
 func (b *batch) drop() {
--- /dev/null
+++ b/internal/core/bulk.go
@@ -0,0 +1,169 @@
+package core
+
+import "micaport/internal/wire"
+
+// An array with more tasks than a record can hold one by one is *bulk*: many
+// small tasks that fill what is spare. What limits it is the size of its record
+// and the number of puts, so its tasks are granted and placed in runs, as many
+// neighbours on a machine as fit, which take a record no more than one entry,
+// and their ends are gathered.
+
+// tasksLimit bounds the active tasks of a job.
+func (n *Node) tasksLimit(j *job) int {
+	if j.bulk {
+		return max(n.activeLimit(), n.cfg.BulkTasks)
+	}
+	return n.activeLimit()
+}
+
+// What a run of active tasks and a range of done ones take at most in the form
+// in which values are measured, the name of the machine aside.
+const (
+	runCost   = 36
+	rangeCost = 16
+)
+
+// recordCost bounds the size of the lists in a job's record.
+func recordCost(active wire.Actives, done [][2]int) int {
+	cost := rangeCost * len(done)
+	for at := 0; at < len(active); {
+		cost += runCost + len(active[at].Host)
+		_, at = active.Run(at)
+	}
+	return cost
+}
+
+// forLists is the part of a value that the lists may take.
+func (n *Node) forLists() int { return max(runCost+20, n.cfg.ValueBytes-2000) }
+
+// gatherFor is how long a result waits for others of the same job when puts
+// are scarce: one put serves them all, and the tasks of a gang end together.
+// The ends of a bulk job come many a second. What fills spare room can wait for
+// longer than work that somebody needs soon.
+func (n *Node) gatherFor(j *job) Time {
+	pause := Time(float64(resultPause) * n.scarcity())
+	if j.rec == nil || j.rec.Spec == nil || j.rec.State != wire.Live || j.rec.Spec.Shape != wire.ShapeArray || len(j.rec.Active) < 2 {
+		return pause
+	}
+	if j.prio == 0 {
+		pause *= 4
+	}
+	if j.bulk {
+		pause = max(pause, resultPause)
+	}
+	return pause
+}
+
+// slack is the room that is left in the records of bulk jobs while an owner
+// changes them. Taking single tasks out of runs can only make a record larger:
+// when there is no room for that, ends wait until the whole run has ended.
+type slack struct {
+	n    *Node
+	w    *writer
+	left map[int]int
+}
+
+func newSlack(n *Node, w *writer) *slack { return &slack{n, w, map[int]int{}} }
+
+func (x *slack) of(j *job) int {
+	left, known := x.left[j.ix]
+	if !known {
+		rec := j.rec
+		if changed := x.w.recs[j.ix]; changed != nil {
+			rec = changed
+		}
+		left = x.n.forLists() - recordCost(rec.Active, rec.DoneSet)
+		x.left[j.ix] = left
+	}
+	return left
+}
+
+// mayEnd tells whether the end of a task may be written.
+func (x *slack) mayEnd(k taskKey, host string) bool {
+	j := x.n.jobs[k.job]
+	if !j.bulk || j.rec.State != wire.Live {
+		return true
+	}
+	if room := x.of(j); room > 2*(runCost+len(host)+rangeCost) {
+		x.left[j.ix] = room - runCost - len(host) - rangeCost
+		return true
+	}
+	at := x.n.activeAt(k, host)
+	if at < 0 {
+		return true
+	}
+	from, to := j.rec.Active.Run(at)
+	for i := from; i < to; i++ {
+		b := &j.rec.Active[i]
+		if _, over := x.n.results[taskKey{k.job, b.Task, b.Attempt}]; !over {
+			return false
+		}
+	}
+	return true
+}
+
+// kept is what of a result a record takes. The done tasks of a bulk job are a
+// few ranges, as the lowest are granted first; should they not be, a task is
+// rather started again, which its machine answers with done at once, than a
+// record made too large to be written ever again.
+func (x *slack) kept(j *job, rec *wire.Job, k taskKey, res result) result {
+	if j.bulk && res.cause == wire.CauseDone && len(rec.DoneSet) > x.n.forLists()/(2*rangeCost) &&
+		!isDone(rec.DoneSet, k.task-1) && !isDone(rec.DoneSet, k.task+1) {
+		res.cause = causeLost
+	}
+	return res
+}
+
+// mayAdd tells whether one more run may be put into a record.
+func (x *slack) mayAdd(j *job) bool {
+	if !j.bulk {
+		return true
+	}
+	if room := x.of(j); room > 2*(runCost+20) {
+		x.left[j.ix] = room - runCost - 20
+		return true
+	}
+	return false
+}
+
+// maxRun bounds a run: the tasks of one machine.
+const maxRun = 256
+
+// runsLeft is how many runs the leader may still grant to a bulk job. What is
+// granted but not placed counts by the machines that the grants had in mind.
+// A quarter is left for runs that their owners have to split.
+func (n *Node) runsLeft(j *job) int {
+	cost := recordCost(j.rec.Active, j.rec.DoneSet)
+	var last *host
+	for i := range j.rec.Active {
+		if a := &j.rec.Active[i]; a.Host == "" {
+			if h := n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]; h != last {
+				cost, last = cost+runCost+20, h
+			}
+		}
+	}
+	return (n.forLists()*3/4 - cost) / (runCost + 20)
+}
+
+// count is how many tasks of a kind find room on the machine.
+func (s *slot) count(sp *wire.Spec) int {
+	k := maxRun
+	for _, x := range [][2]float64{{s.cores, sp.Cores}, {s.cards, sp.Cards}, {s.mem, sp.MemoryGB}} {
+		if x[1] > 0 {
+			k = min(k, int((x[0]+eps)/x[1]))
+		}
+	}
+	return max(0, k)
+}
+
+const grantGather = 2 * second
+
+// grantPause is how long the leader gathers what it grants to an array that
+// fills spare room or is bulk. It counts from the last grant: the record of a
+// bulk job changes all the time.
+func (n *Node) grantPause(j *job) Time {
+	if len(j.rec.Active) == 0 || j.rec.Spec.Shape != wire.ShapeArray || j.prio > 0 && !j.bulk {
+		return 0
+	}
+	return Time(float64(grantGather) * n.scarcity())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 	LeaderTTL               Time
 	TxnOps, ValueBytes      int
 	BatchPuts               int // records that one of our transactions changes at most
+	BulkTasks               int // active tasks of an array with more tasks than a record can hold one by one
 	ListLag                 Time
 	CloudRPS                float64
 	StateRPS, WriteRPS      float64 // 0: no limit
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -8,9 +8,27 @@
 // "Starts at a worker's own address" in docs/design.md.
 
 // directLimit bounds the starts of a machine's session that go to its own
-// address, as each leaves an ended task in its reports: a kilobyte in all.
+// address, as each leaves an ended task in its reports: a kilobyte in all. Work
+// of low urgency has none of them, as it comes in swarms of tiny tasks.
 const directLimit = 16
 
+// directStart is a start sent to a machine's own address in its present session
+// and our term.
+type directStart struct {
+	at     Time
+	obeyed bool // the worker has said so: it knows the attempt, and no copy has an effect
+}
+
+// mayComeTooLate tells whether a start that nobody has seen obeyed might still be
+// when its job has been withdrawn for cancel_s: it can be as long as the session
+// lasts. A machine that goes on reporting is therefore answered no more from
+// half a validity after the withdrawal on, and its lease ends the session in
+// time. For a job that is not withdrawn there is no need of it: answers repeat
+// the start, after which the worker knows the attempt.
+func (n *Node) mayComeTooLate(j *job, s directStart) bool {
+	return !s.obeyed && j.rec.State == wire.Withdrawn && n.now-j.closedAt > n.cfg.Validity/2
+}
+
 // noteUnstarted remembers a machine of ours on which a task has been placed.
 func (n *Node) noteUnstarted(h *host, k taskKey) {
 	if h.listed || h.part < 0 || !n.holds(n.parts[h.part]) {
@@ -57,7 +75,7 @@
 		_, over := n.results[k]
 		_, sent := h.direct[k]
 		if there || over || sent || h.started[k] > 0 || x.session != h.session || x.stop != wire.Keep ||
-			j.rec.State != wire.Live || len(h.direct)+len(orders) >= directLimit {
+			j.rec.State != wire.Live || j.prio == 0 || len(h.direct)+len(orders) >= directLimit {
 			continue
 		}
 		a := n.active(k, h.name)
@@ -71,16 +89,24 @@
 		return
 	}
 	for _, k := range keys {
-		h.direct[k] = n.now
+		h.direct[k] = directStart{at: n.now}
 	}
 	term, session := h.term, h.session
 	id := n.id(func(in any) {
-		if o := in.(Directed).Outcome; h.term != term || h.session != session || o != Refused && o != Conflict {
+		if h.term != term || h.session != session {
 			return
 		}
-		// Certainly not carried out, now or later: its reports will do.
 		for _, k := range keys {
-			delete(h.direct, k)
+			switch s, there := h.direct[k]; in.(Directed).Outcome {
+			case OK:
+				if there {
+					s.obeyed = true
+					h.direct[k] = s
+				}
+			case Refused, Conflict:
+				// Certainly not carried out, now or later: its reports will do.
+				delete(h.direct, k)
+			}
 		}
 	})
 	n.emit(Direct{ID: id, Addr: h.addr, Orders: wire.Orders{Token: term, Session: session, Orders: orders}})
--- a/internal/core/direct_test.go
+++ b/internal/core/direct_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 	d.report(1, 0)
 	d.report(2, term)
 	d.wait(4 * second) // its answer no longer waits
-	job := &wire.Job{Frames: 1, Next: 2, Spec: &wire.Spec{Ref: "wk-000001", Team: "t", Shape: wire.ShapeDaemon, Frames: 1, Image: "i"},
+	job := &wire.Job{Frames: 1, Next: 2, Spec: &wire.Spec{Ref: "wk-000001", Team: "t", Shape: wire.ShapeDaemon, Urgency: "standard", Frames: 1, Image: "i"},
 		Active: []wire.Active{{Attempt: 1, Host: "vm-1", Session: 1}}}
 	d.put(job)
 	o := d.direct()
@@ -120,6 +121,31 @@
 	}
 }
 
+// A start that may still be obeyed must not be once its job has been withdrawn for
+// cancel_s. The machine is answered no more, so that its session ends before. A
+// worker that has said that it obeyed knows the attempt and goes on.
+func TestDirectStartComesTooLate(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		status  int
+	}{{Unknown, 503}, {OK, 200}, {Refused, 200}} {
+		d, job, o := placedDirectly(t)
+		d.step(Directed{ID: o.ID, Outcome: c.outcome})
+		gone := clone(job)
+		gone.State = wire.Withdrawn
+		d.put(gone)
+		for seq := uint64(9); seq < 13; seq++ {
+			d.report(seq, o.Orders.Token)
+			d.wait(4 * second)
+		}
+		d.report(13, o.Orders.Token)
+		d.wait(4 * second)
+		if at := slices.IndexFunc(d.out, func(e any) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != c.status {
+			t.Errorf("outcome %d: answered with %+v", c.outcome, d.out)
+		}
+	}
+}
+
 // An attempt that was started so is not cleared: the worker would obey a late
 // copy of the start.
 func TestDirectStartIsNotCleared(t *testing.T) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -20,6 +20,7 @@
 	rigs      set // the types allowed, unless any is
 	any       bool
 	spot      bool
+	bulk      bool  // more tasks than can be active one by one, see bulk.go
 	pend      []int // tasks neither done nor active; good while pendKnown
 	pendKnown bool
 	unplaced  int // active tasks granted but not placed
@@ -30,6 +31,8 @@
 	notBefore    Time
 	errorsSeen   int
 	changed      Time // when our copy last changed
+	closedAt     Time // when our copy first showed it done or withdrawn
+	grantedAt    Time // when we, as the leader, last granted anything of it
 	within       bool // inside its team's guarantee
 }
 
@@ -55,6 +58,9 @@
 	if rev <= j.rev {
 		return
 	}
+	if n.loaded && rec != nil && (j.rec == nil || j.rec.State == wire.Live && rec.State == wire.Withdrawn) {
+		n.puts.seenUsers++
+	}
 	if j.rec != nil {
 		n.unindex(j)
 		if rec == nil || rec.State != wire.Live {
@@ -69,6 +75,9 @@
 		n.setLive(j, false)
 		return
 	}
+	if rec.State != wire.Live && j.closedAt == 0 {
+		j.closedAt = n.now
+	}
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
 		if n.loaded {
@@ -110,6 +119,7 @@
 		j.zone = n.zones.Of(sp.Zone)
 	}
 	j.spot, j.any = sp.Spot, len(sp.Rigs) == 0 && !sp.RigsForbidAll
+	j.bulk = sp.Shape == wire.ShapeArray && sp.Frames > n.activeLimit()
 	for _, name := range sp.Rigs {
 		j.rigs.add(n.rigs.Of(name))
 	}
@@ -142,15 +152,17 @@
 		for at > 0 && h.on[at-1].job > j.ix {
 			at--
 		}
-		h.on = slices.Insert(h.on, at, placed{part: a.Part, stop: a.Stop, session: a.Session, taskKey: taskKey{j.ix, a.Task, a.Attempt}})
+		h.on = slices.Insert(h.on, at, placed{part: a.Part, stop: a.Stop, session: a.Session, at: i, taskKey: taskKey{j.ix, a.Task, a.Attempt}})
 		h.roomKnown = false
 		n.noteUnstarted(h, taskKey{j.ix, a.Task, a.Attempt})
 	}
 }
 
 func (n *Node) unindex(j *job) {
+	last := ""
 	for i := range j.rec.Active {
-		if a := &j.rec.Active[i]; a.Host != "" {
+		if a := &j.rec.Active[i]; a.Host != last && a.Host != "" {
+			last = a.Host
 			h := n.hostOf(a.Host)
 			h.on = slices.DeleteFunc(h.on, func(p placed) bool { return p.job == j.ix })
 			h.roomKnown = false
@@ -239,7 +251,7 @@
 // waitingTasks lists up to limit tasks that wait to be granted.
 func (n *Node) waitingTasks(j *job, limit int) []int {
 	if !j.pendKnown {
-		j.pend, j.pendKnown = pendingTasks(j.rec, n.activeLimit()), true
+		j.pend, j.pendKnown = pendingTasks(j.rec, n.tasksLimit(j)), true
 	}
 	return j.pend[:max(0, min(limit, len(j.pend)))]
 }
@@ -271,7 +283,7 @@
 }
 
 // activeLimit bounds the active tasks of one record by the size of a value,
-// with room for the rest of the record.
+// with room for the rest of the record. Larger arrays are told apart in bulk.go.
 func (n *Node) activeLimit() int {
 	const perTask = 60 // generous, in JSON form, with its share of the done set
 	return max(1, (n.cfg.ValueBytes-2000)/perTask)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -17,7 +17,8 @@
 	dirty bool
 	at    Time
 
-	hint map[taskKey]*host // the machine that a grant had in mind
+	hint    map[taskKey]*host // the machine that a grant had in mind
+	placing []placing         // what the batch under way places on machines of our own
 
 	cloud cloudState
 	// Machines that the cloud has confirmed gone, for the owners to hear.
@@ -25,6 +26,12 @@
 	kept     []wire.Kept // machines kept for the gang that has waited longest
 }
 
+// placing is room on a machine of ours that a batch of the leader takes.
+type placing struct {
+	h  *host
+	sp *wire.Spec
+}
+
 type returned struct {
 	name string
 	at   Time
@@ -46,7 +53,7 @@
 
 func (l *leaderState) reset() {
 	l.batch = batch{name: "leader", gen: l.batch.gen + 1}
-	l.hint = map[taskKey]*host{}
+	l.hint, l.placing = map[taskKey]*host{}, nil
 	l.cloud = newCloudState()
 	l.returned, l.kept = nil, nil
 	l.dirty = true
@@ -182,7 +189,7 @@
 	// A pass looks at every unfinished job and every machine, if briefly; with
 	// thousands of them the share of a core that we have allows fewer passes.
 	l.at = n.now + 120*1e6 + Time(len(n.live))*300*1e3 + Time(n.machines())*100*1e3
-	l.dirty = false
+	l.dirty, l.placing = false, nil
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
 	n.leadGangs(w)
@@ -393,13 +400,26 @@
 		p.left = min(p.left+1, 50)
 		return false
 	}
-	attempt := rec.Next
+	was := rec.Next
+	attempt := p.w.attempt(j, rec)
 	parts := map[int]bool{}
+	own := true
+	for _, s := range slots {
+		parts[s.part] = true
+		own = own && n.mayPlace(s)
+	}
+	own = own && (len(parts) == 1 || rec.Spec.Shape != wire.ShapeGang)
 	for i, t := range tasks {
 		s := slots[i]
-		parts[s.part] = true
-		rec.Active = append(rec.Active, wire.Active{Task: t, Attempt: attempt, Part: s.part})
-		n.leader.hint[taskKey{j.ix, t, attempt}] = s.h
+		a := wire.Active{Task: t, Attempt: attempt, Part: s.part}
+		if own {
+			a.Host, a.Session = s.h.name, s.h.session
+			p.w.parts[s.part] = true
+			n.leader.placing = append(n.leader.placing, placing{s.h, rec.Spec})
+		} else {
+			n.leader.hint[taskKey{j.ix, t, attempt}] = s.h
+		}
+		rec.Active = append(rec.Active, a)
 	}
 	if len(parts) > 1 && rec.Spec.Shape == wire.ShapeGang {
 		g := &wire.Gang{Attempt: attempt}
@@ -410,20 +430,29 @@
 		}
 		key := wire.GangKey(j.ref, attempt)
 		if !p.w.also(Write{Key: key, Value: g}, Cond{key, 0}) {
-			rec.Active = rec.Active[:len(rec.Active)-len(tasks)]
+			rec.Active, rec.Next = rec.Active[:len(rec.Active)-len(tasks)], was
+			delete(p.w.tries, j.ix)
 			p.left = min(p.left+1, 50)
 			return false
 		}
 	}
-	rec.Next++
 	p.used[j.team].add(rec.Spec, float64(len(tasks)))
-	if len(n.leader.hint) > 4096 {
+	j.grantedAt = n.now
+	if len(n.leader.hint) > 4096+4*n.cfg.BulkTasks {
 		clear(n.leader.hint)
 	}
 	n.log(0, "granted", "job", j.ref, "attempt", attempt, "tasks", len(tasks), "part", n.parts[slots[0].part].name)
 	return true
 }
 
+// mayPlace tells whether the leader may choose the machine in the grant, since it
+// owns the part as well: one put does for both. The commit then rests on both
+// keys. While our own owner's batch is under way, what that places is not known
+// here yet.
+func (n *Node) mayPlace(s *slot) bool {
+	return s.h != nil && n.valid(n.parts[s.part]) && !n.owner.active && n.usable(s.h)
+}
+
 // quota tells whether a team may use room for k more tasks.
 func (p *plan) quota(j *job, k int) bool {
 	if j.team < 0 {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -133,11 +133,12 @@
 	bytes int
 	limit int // puts
 	ended map[taskKey]bool
+	tries map[int]uint64 // the attempt number of what is granted or placed anew here, by job
 }
 
 func newWriter(n *Node) *writer {
 	limit := min(n.cfg.TxnOps-1, n.cfg.BatchPuts, n.mayPut())
-	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, ended: map[taskKey]bool{}, limit: limit}
+	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, ended: map[taskKey]bool{}, tries: map[int]uint64{}, limit: limit}
 }
 
 // job gives a copy of the record to change, or nil when the commit is full.
@@ -145,7 +146,7 @@
 	if r := w.recs[j.ix]; r != nil {
 		return r
 	}
-	size := 900 + 60*len(j.rec.Active)
+	size := 900 + recordCost(j.rec.Active, j.rec.DoneSet)
 	if len(w.order)+len(w.extra) >= w.limit || w.bytes+size > 48_000 {
 		return nil
 	}
@@ -155,6 +156,17 @@
 	return w.recs[j.ix]
 }
 
+// attempt gives the number for what this commit starts of a job: one for all of
+// its tasks, since a task is started once in a commit and the next commit takes
+// the next number. Tasks that begin together are so told in one run.
+func (w *writer) attempt(j *job, rec *wire.Job) uint64 {
+	if _, taken := w.tries[j.ix]; !taken {
+		w.tries[j.ix] = rec.Next
+		rec.Next++
+	}
+	return w.tries[j.ix]
+}
+
 // also adds a write of another key under a condition.
 func (w *writer) also(wr Write, c Cond) bool {
 	if len(w.order)+len(w.extra) >= w.n.cfg.TxnOps {
@@ -220,9 +232,10 @@
 			oldest[k.job] = n.results[k].at
 		}
 	}
+	slack := newSlack(n, w)
 	for _, k := range keys {
 		res := n.results[k]
-		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil {
+		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil || n.leader.batch.holds(n.jobs[k.job]) {
 			continue
 		}
 		// A machine that has lost its session is the best place for the same
@@ -231,7 +244,7 @@
 			!h.token && n.now-h.heard < sessionPause {
 			continue
 		}
-		if n.now-oldest[k.job] < Time(float64(resultPause)*n.scarcity()) {
+		if n.now-oldest[k.job] < n.gatherFor(n.jobs[k.job]) {
 			continue
 		}
 		a := n.active(k, res.host)
@@ -243,6 +256,9 @@
 			delete(n.results, k)
 			continue
 		}
+		if !slack.mayEnd(k, res.host) {
+			continue
+		}
 		rec := w.job(n.jobs[k.job])
 		if rec == nil {
 			return
@@ -252,8 +268,10 @@
 		w.ended[k] = true
 		w.parts[a.Part] = true
 		was := *a
-		finish(rec, k, res)
-		n.placeAnew(rec, was, res, room)
+		finish(rec, k, slack.kept(n.jobs[k.job], rec, k, res))
+		if slack.mayAdd(n.jobs[k.job]) {
+			n.placeAnew(w, rec, was, res, room)
+		}
 	}
 }
 
@@ -261,7 +279,7 @@
 // part: the grant stands, only the choice of the machine is the owner's. It
 // saves two puts, and when a whole zone has lost its tasks that is most of the
 // time it takes to have them back.
-func (n *Node) placeAnew(rec *wire.Job, was wire.Active, res result, room *ownRoom) {
+func (n *Node) placeAnew(w *writer, rec *wire.Job, was wire.Active, res result, room *ownRoom) {
 	if rec.State != wire.Live || rec.Spec.Shape == wire.ShapeGang || was.Stop != wire.Keep ||
 		res.cause != causeLost && res.cause != wire.CauseHalted {
 		return
@@ -272,8 +290,7 @@
 		return
 	}
 	s.take(rec.Spec)
-	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: rec.Next, Part: was.Part, Host: s.h.name, Session: s.h.session})
-	rec.Next++
+	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: w.attempt(j, rec), Part: was.Part, Host: s.h.name, Session: s.h.session})
 	n.log(0, "placed anew", "job", j.ref, "task", was.Task, "host", s.h.name)
 }
 
@@ -388,6 +405,17 @@
 		}
 	}
 	n.takeHolds(slots)
+	if n.leader.batch.active {
+		taken := map[*host][]*wire.Spec{}
+		for _, x := range n.leader.placing {
+			taken[x.h] = append(taken[x.h], x.sp)
+		}
+		for _, s := range slots.all {
+			for _, sp := range taken[s.h] {
+				s.take(sp)
+			}
+		}
+	}
 	return slots
 }
 
@@ -395,7 +423,7 @@
 func (n *Node) placeGranted(w *writer, room *ownRoom) {
 	for _, jx := range n.live {
 		j := n.jobs[jx]
-		if j.unplaced == 0 || !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
+		if j.unplaced == 0 || n.leader.batch.holds(j) || !slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
 			return a.Host == "" && n.valid(n.parts[a.Part])
 		}) {
 			continue
@@ -420,12 +448,18 @@
 		n.placeGang(w, j, slots)
 		return
 	}
+	slack := newSlack(n, w)
+	var s *slot
 	for i := range j.rec.Active {
 		a := &j.rec.Active[i]
 		if a.Host != "" || !n.valid(n.parts[a.Part]) {
 			continue
 		}
-		s := slots.best(j, func(s *slot) bool { return s.part == a.Part }, nil)
+		if !j.bulk || s == nil || s.part != a.Part || !s.fits(sp) {
+			if s = slots.best(j, func(s *slot) bool { return s.part == a.Part }, nil); s != nil && !slack.mayAdd(j) {
+				s = nil
+			}
+		}
 		k := taskKey{j.ix, a.Task, a.Attempt}
 		if s == nil && !n.outOfPatience(k) {
 			continue
@@ -450,6 +484,7 @@
 	for i := range rec.Active {
 		if b := &rec.Active[i]; b.Task == a.Task && b.Attempt == a.Attempt {
 			b.Host, b.Session = h.name, h.session
+			return
 		}
 	}
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -64,7 +64,8 @@
 	leavingAt    Time // when the cloud takes it away; 0: not announced
 	tasks        map[taskKey]string
 	started      map[taskKey]uint64 // report that was last answered with the start
-	direct       map[taskKey]Time   // starts sent to its own address in this term and session: when
+	direct       map[taskKey]directStart
+	silenced     bool // no longer answered, so that its session ends
 	addr         string
 	held         int          // answers to it that wait
 	listed       bool         // among those with a task that they have not shown
@@ -103,6 +104,7 @@
 	part    int
 	stop    int
 	session uint64
+	at      int // its place among the active tasks of the record
 }
 
 type taskKey struct {
--- a/internal/core/purse.go
+++ b/internal/core/purse.go
@@ -15,12 +15,18 @@
 	seen   float64 // puts that our watch has shown since usedAt
 	usedAt Time
 	used   float64 // puts a second by all, over the last while
-	need   int     // records that wait to be written by us
-	leader int     // of these, grants that the last pass of the leader found no put for
+
+	seenUsers int     // submissions and withdrawals among those
+	users     float64 // of these a second, over the last while
+	need      int     // records that wait to be written by us
+	leader    int     // of these, grants that the last pass of the leader found no put for
 }
 
-// forBulk is the part of the puts that is shared by need.
-const forBulk = 0.9
+// forBulk is the part of the puts that is shared by need: nine tenths, and less
+// when users submit and withdraw a lot, or they would be refused.
+func (n *Node) forBulk() float64 {
+	return max(0.5, min(0.9, 0.95-1.25*n.puts.users/n.cfg.WriteRPS))
+}
 
 // mayPut is how many puts we may send now.
 func (n *Node) mayPut() int {
@@ -53,7 +59,7 @@
 			total++
 		}
 	}
-	all := n.cfg.WriteRPS * forBulk
+	all := n.cfg.WriteRPS * n.forBulk()
 	n.puts.behind = (total - float64(len(n.cfg.Members))) / all
 	return max(all*mine/total, all/float64(3*len(n.cfg.Members)))
 }
@@ -74,7 +80,8 @@
 	p.seen += float64(k)
 	if d := (n.now - p.usedAt).Seconds(); d >= 2 {
 		p.used += (p.seen/d - p.used) * min(1, d/8)
-		p.seen, p.usedAt = 0, n.now
+		p.users += (float64(p.seenUsers)/d - p.users) * min(1, d/8)
+		p.seen, p.seenUsers, p.usedAt = 0, 0, n.now
 	}
 }
 
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -17,6 +17,7 @@
 	// What was found out for an earlier task of the job holds for the rest.
 	noRoom, noSoon, noHope bool
 	parts                  []int // its tasks by part, as planned so far
+	runs                   int   // how many runs of tasks its record has room for
 }
 
 // teamQueue is the queue of one team.
@@ -49,20 +50,26 @@
 		q, u, t := out[j.team], &sum[j.team], &n.cfg.Teams[j.team]
 		u.add(sp, float64(j.rec.Frames-countDone(j.rec.DoneSet)))
 		j.within = (t.Cards > 0 || t.Cores > 0) && !over(u.cards, t.Cards) && !over(u.cores, t.Cores)
-		if n.now < j.notBefore {
+		if n.now < j.notBefore || n.owner.holds(j) {
 			continue
 		}
-		if j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity()) {
+		if j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity()) && (!j.bulk || n.now-j.grantedAt < placingTime) {
 			continue
 		}
-		w := &want{j: j, within: j.within}
+		w := &want{j: j, within: j.within, runs: len(j.rec.Active) + j.rec.Frames}
 		if sp.Shape == wire.ShapeGang {
 			if len(j.rec.Active) > 0 {
 				continue // the old attempt is not gone yet
 			}
 			w.tasks = n.waitingTasks(j, j.rec.Frames)
 		} else {
-			w.tasks = n.waitingTasks(j, n.activeLimit()-len(j.rec.Active))
+			w.tasks = n.waitingTasks(j, n.tasksLimit(j)-len(j.rec.Active))
+			if j.bulk {
+				w.runs = n.runsLeft(j)
+			}
+			if w.runs <= 0 || n.now-j.grantedAt < n.grantPause(j) {
+				w.tasks = nil
+			}
 		}
 		if len(w.tasks) > 0 {
 			q.wants = append(q.wants, w)
@@ -213,18 +220,40 @@
 	zones := w.zones
 	scarce := p.n.scarcity()
 	started := len(j.rec.Active) > 0 || p.w.recs[j.ix] != nil
+	if j.bulk {
+		scarce = 2 // its owners and the leader would keep each other from writing its record
+	}
 	near := func(s *slot) float64 {
-		if started && s.part >= 0 && w.parts[s.part] == 0 {
+		switch {
+		case s.part < 0:
+			return 0
+		case started && w.parts[s.part] == 0:
 			return newPart * scarce
+		case !started && !p.n.holds(p.n.parts[s.part]):
+			return ownPart * scarce
 		}
 		return 0
 	}
 	// Tasks that only a machine still to come will take count in their zone
 	// too, else all would be planned for the same one.
-	took := func(s *slot) {
-		s.take(sp)
-		zones[s.zone]++
-		w.tasks = w.tasks[1:]
+	took := func(s *slot, k int) {
+		s.give(sp, -k)
+		zones[s.zone] += k
+		w.tasks = w.tasks[k:]
+		w.runs--
+	}
+	run := func(s *slot) int {
+		if !j.bulk {
+			return 1
+		}
+		k := min(s.count(sp), len(w.tasks), maxRun)
+		for k > 1 && !p.quota(j, k) {
+			k--
+		}
+		return max(1, k)
+	}
+	if w.runs <= 0 {
+		return false
 	}
 	reluctant := p.keepsOrdinary(w)
 	ok := func(s *slot) bool {
@@ -250,13 +279,14 @@
 		if s := p.up.best(j, ok, near); s != nil {
 			// Without a put left the room is kept for it all the same: it is
 			// neither to be taken by what comes later, nor to go back as idle.
-			if p.grant(j, w.tasks[:1], []*slot{s}) {
-				w.parts[s.part]++
+			k := run(s)
+			if p.grant(j, w.tasks[:k], slices.Repeat([]*slot{s}, k)) {
+				w.parts[s.part] += k
 			} else {
-				p.used[j.team].add(sp, 1)
+				p.used[j.team].add(sp, float64(k))
 			}
 			s.fetching(j)
-			took(s)
+			took(s, k)
 			j.blockedSince = 0
 			return true
 		}
@@ -267,16 +297,17 @@
 	w.noRoom = true
 	p.waiting++
 	p.blocked(j)
-	// Room on its way counts before machines still to come.
-	if !w.noSoon {
+	// Room on its way counts before machines still to come. A bulk job takes it
+	// when it is there.
+	if !w.noSoon && !j.bulk {
 		for _, s := range p.up.soon {
 			if s.suits(j) && s.fitsSoon(sp) && ok(s) {
-				took(s)
+				took(s, 1)
 				return true
 			}
 		}
 		if s := p.preempt(w, ok); s != nil {
-			took(s)
+			took(s, 1)
 			return true
 		}
 		w.noSoon = plain
@@ -287,27 +318,36 @@
 		w.noHope = s == nil && plain
 	}
 	if s == nil {
-		s = p.hireFor(w, ok)
+		s = p.hireFor(w, func(s *slot) bool { return ok(s) && (s.spot || !p.sparesOnly(w)) })
 	}
 	if s == nil {
 		return false
 	}
 	// Simulated only: later passes grant it for real. Count its use so that
 	// no more is hired than the team may use.
-	p.used[j.team].add(sp, 1)
-	took(s)
+	k := run(s)
+	p.used[j.team].add(sp, float64(k))
+	took(s, k)
 	return true
 }
 
 // newPart is what it counts, in seconds, to spread a job over one more part
-// when puts are scarce: each part's owner has to write the job's record.
-const newPart = 8
+// when puts are scarce: each part's owner has to write the job's record. ownPart
+// is what it counts to begin it in a part that is not the leader's own, where
+// the grant chooses the machine and saves a put.
+const (
+	newPart = 8
+	ownPart = 3
+)
 
 // keepsOrdinary tells whether a task that may run on spot machines should
 // rather wait for one than break into an ordinary machine that nothing uses:
 // those are for whole-machine gangs and daemons, and cost several times more.
 func (p *plan) keepsOrdinary(w *want) bool {
 	j, sp := w.j, w.j.rec.Spec
+	if p.sparesOnly(w) {
+		return true
+	}
 	if !sp.Spot || j.prio >= 2 || j.blockedSince != 0 && p.n.now-j.blockedSince > patienceForSpot {
 		return false
 	}
@@ -324,6 +364,21 @@
 	return false
 }
 
+// sparesOnly tells whether a job is to fill what is spare: work of low urgency of
+// a team without a guarantee. Ordinary machines are neither hired for it nor
+// taken out of idleness, until it has waited for longer with nothing started.
+func (p *plan) sparesOnly(w *want) bool {
+	j := w.j
+	t := &p.n.cfg.Teams[j.team]
+	if j.prio > 0 || t.Cards > 0 || t.Cores > 0 {
+		return false
+	}
+	return len(j.rec.Active) > 0 || j.rec.Next > 1 || j.blockedSince == 0 || p.n.now-j.blockedSince < sparePatience
+}
+
+// sparePatience is how long work that fills what is spare waits for that.
+const sparePatience = 60 * second
+
 // patienceForSpot is about the time that a machine takes to boot and more.
 const patienceForSpot = 40 * second
 
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -40,7 +40,8 @@
 	}
 	if h.term != p.rev {
 		h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
-		h.started, h.direct = map[taskKey]uint64{}, map[taskKey]Time{}
+		h.silenced = false
+		h.started, h.direct = map[taskKey]uint64{}, map[taskKey]directStart{}
 		// The first report of a machine's life, of which nobody has heard: it
 		// can't know any term yet.
 		h.newborn = r.Session == 1 && r.Seq <= 2 && r.Token == 0 && !h.info.known && len(h.on) == 0
@@ -58,6 +59,7 @@
 		}
 		clear(h.started)
 		clear(h.direct)
+		h.silenced = false
 	}
 	if h.token != (r.Token == p.rev) {
 		h.token, h.ignored = r.Token == p.rev, 0
@@ -77,6 +79,10 @@
 	n.ownerAt = 0
 	was := h.ignored
 	orders := n.reconcile(p, h, r)
+	if h.silenced {
+		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "a start is not accounted for"}})
+		return
+	}
 	if consecutive && h.ignored == was && len(n.cfg.Members) > 1 && h.token {
 		h.ignored = 0 // it has stayed with us, so it heard our last answer
 	}
@@ -197,7 +203,11 @@
 			return false
 		}
 		h.held--
-		n.answerWorker(q.Req, p, h, n.reconcile(p, h, q.Report))
+		if orders := n.reconcile(p, h, q.Report); !h.silenced {
+			n.answerWorker(q.Req, p, h, orders)
+		} else {
+			n.redirect(q.Req, p, h, true)
+		}
 		return true
 	})
 }
@@ -264,16 +274,24 @@
 
 // active finds a placed task in our copy of the records.
 func (n *Node) active(k taskKey, hostName string) *wire.Active {
-	if k.job < 0 || n.jobs[k.job].rec == nil {
-		return nil
+	if at := n.activeAt(k, hostName); at >= 0 {
+		return &n.jobs[k.job].rec.Active[at]
 	}
-	list := n.jobs[k.job].rec.Active
-	for i := range list {
-		if a := &list[i]; a.Task == k.task && a.Attempt == k.attempt && a.Host == hostName {
-			return a
+	return nil
+}
+
+// activeAt gives a placed task's place in its record, or -1.
+func (n *Node) activeAt(k taskKey, hostName string) int {
+	ix := n.hostIx.Find(hostName)
+	if k.job < 0 || ix < 0 {
+		return -1
+	}
+	for i := range n.hosts[ix].on {
+		if x := &n.hosts[ix].on[i]; x.taskKey == k {
+			return x.at
 		}
 	}
-	return nil
+	return -1
 }
 
 // result is what became of a task, to be written to its record.
@@ -360,7 +378,7 @@
 		last, sent := h.started[k]
 		// A start sent to the worker's own address may still be on its way,
 		// whatever its reports say.
-		sentAt, direct := h.direct[k]
+		viaAddr, direct := h.direct[k]
 		gone := fresh && r.Seq > last && !direct
 		missed = missed || sent && gone
 		switch {
@@ -369,7 +387,9 @@
 		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
 			if gone {
 				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
-			} else if direct && n.now-sentAt > 2*n.cfg.Lease {
+			} else if direct && n.mayComeTooLate(j, viaAddr) {
+				h.ignored, h.silenced = deafAfter, true
+			} else if direct && n.now-viaAddr.at > 2*n.cfg.Lease {
 				h.ignored = deafAfter // it took a start and never showed it
 			}
 		case gone && sent && h.ignored >= deafAfter-1:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// bulkTasksPerCore bounds the active tasks of one array by the processor. Such
+// tasks may last a few seconds; while they end, their machines report twice a
+// second, which costs their owner some 0.2 ms a report and as much for each
+// task's grant, placing, start and end. A thousand tasks, a dozen on each machine
+// and over within ten seconds, so take 50 ms of each second, a third of what
+// the share that allows them gives.
+const bulkTasksPerCore = 6000
+
 func coreConfig(s *config.Settings, op config.Operator) core.Config {
 	d := &s.Deployment
 	c := core.Config{
@@ -123,6 +131,7 @@
 		// A transaction needs as many of the puts allowed a second at once; a
 		// large one would wait behind every small one.
 		BatchPuts: max(2, int(1.5*d.State.WriteRPS/float64(len(s.Peers)+1))),
+		BulkTasks: int(bulkTasksPerCore * d.Limits.CoreShare),
 		ListLag:   config.Seconds(d.Cloud.ListLagS),
 		CloudRPS:  d.Cloud.RPS, StateRPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -36,20 +36,6 @@
 	Abandon = 2 // exit at once; the attempt is lost
 )
 
-// Active is a task that has been granted to a part and, once Host is set,
-// placed on a machine. It charges its team until it is removed, and it is
-// removed only on proof that the task is gone. It is encoded as a list to
-// stay within the size of a value.
-type Active struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Task     int
-	Attempt  uint64
-	Part     int
-	Host     string
-	Session  uint64
-	Stop     int
-}
-
 // Job is the record of one job, the sole truth about it.
 type Job struct {
 	Spec    *Spec    `msgpack:"s,omitempty"`
@@ -58,7 +44,7 @@
 	At      int64    `msgpack:"at"`           // wall-clock ms when accepted; orders queues only
 	Next    uint64   `msgpack:"nx"`           // next attempt number; never goes back
 	DoneSet [][2]int `msgpack:"dn,omitempty"` // half-open ranges of done tasks
-	Active  []Active `msgpack:"ac,omitempty"`
+	Active  Actives  `msgpack:"ac,omitempty"`
 	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
 	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
 }
