--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -33,8 +33,26 @@
 	return cost
 }
 
-// forLists is the part of a value that the lists may take.
-func (n *Node) forLists() int { return max(runCost+20, n.cfg.ValueBytes-2000) }
+// forLists is the part of a value that the lists of a bulk job may take.
+func (n *Node) forLists(j *job) int { return max(2*runCost, n.cfg.ValueBytes-j.specBytes) }
+
+// specCost bounds the rest of a bulk job's record, in the form in which values are
+// measured: names of fields take more there than in ours.
+func specCost(sp *wire.Spec) int {
+	b, err := wire.Encode(sp)
+	if err != nil {
+		return 2000
+	}
+	return 3*len(b)/2 + 600
+}
+
+// nameCost is what the name of a machine takes.
+func (n *Node) nameCost() int {
+	if len(n.hosts) == 0 {
+		return 20
+	}
+	return len(n.hosts[len(n.hosts)-1].name) + 1
+}
 
 // gatherFor is how long a result waits for others of the same job when puts
 // are scarce: one put serves them all, and the tasks of a gang end together.
@@ -72,7 +90,7 @@
 		if changed := x.w.recs[j.ix]; changed != nil {
 			rec = changed
 		}
-		left = x.n.forLists() - recordCost(rec.Active, rec.DoneSet)
+		left = x.n.forLists(j) - recordCost(rec.Active, rec.DoneSet)
 		x.left[j.ix] = left
 	}
 	return left
@@ -107,7 +125,7 @@
 // rather started again, which its machine answers with done at once, than a
 // record made too large to be written ever again.
 func (x *slack) kept(j *job, rec *wire.Job, k taskKey, res result) result {
-	if j.bulk && res.cause == wire.CauseDone && len(rec.DoneSet) > x.n.forLists()/(2*rangeCost) &&
+	if j.bulk && res.cause == wire.CauseDone && len(rec.DoneSet) > x.n.forLists(j)/(2*rangeCost) &&
 		!isDone(rec.DoneSet, k.task-1) && !isDone(rec.DoneSet, k.task+1) {
 		res.cause = causeLost
 	}
@@ -119,8 +137,8 @@
 	if !j.bulk {
 		return true
 	}
-	if room := x.of(j); room > 2*(runCost+20) {
-		x.left[j.ix] = room - runCost - 20
+	if room, cost := x.of(j), runCost+x.n.nameCost(); room > 2*cost {
+		x.left[j.ix] = room - cost
 		return true
 	}
 	return false
@@ -131,18 +149,18 @@
 
 // runsLeft is how many runs the leader may still grant to a bulk job. What is
 // granted but not placed counts by the machines that the grants had in mind.
-// A quarter is left for runs that their owners have to split.
+// An eighth is left for runs that their owners have to split.
 func (n *Node) runsLeft(j *job) int {
-	cost := recordCost(j.rec.Active, j.rec.DoneSet)
+	cost, each := recordCost(j.rec.Active, j.rec.DoneSet), runCost+n.nameCost()
 	var last *host
 	for i := range j.rec.Active {
 		if a := &j.rec.Active[i]; a.Host == "" {
 			if h := n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]; h != last {
-				cost, last = cost+runCost+20, h
+				cost, last = cost+each, h
 			}
 		}
 	}
-	return (n.forLists()*3/4 - cost) / (runCost + 20)
+	return (n.forLists(j)*7/8 - cost) / each
 }
 
 // count is how many tasks of a kind find room on the machine.
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -411,6 +411,17 @@
 		if n.holds(n.parts[part]) {
 			continue // we know better
 		}
+		// One that has lost the part without having seen it finds its machines
+		// silent; heeded, they were returned with all that ran on them.
+		term := uint64(0)
+		for k, ix := range m.Parts {
+			if ix == part && k < len(m.Terms) {
+				term = m.Terms[k]
+			}
+		}
+		if term < n.parts[part].rev {
+			continue
+		}
 		n.setPart(h, part)
 		if rig := name(info.Rig); rig != "" {
 			h.rig = n.rigs.Of(rig)
@@ -419,12 +430,6 @@
 		h.spot = f&wire.FlagSpot != 0
 		v := view{known: true, leaving: f&wire.FlagLeaving != 0, retiring: f&wire.FlagRetiring != 0, sick: f&wire.FlagSick != 0,
 			lost: f&wire.FlagLost != 0, unsure: f&wire.FlagUnsure != 0, quiet: f >> 8, errors: info.Errors}
-		term := n.parts[part].rev
-		for k, ix := range m.Parts {
-			if ix == part && k < len(m.Terms) {
-				term = m.Terms[k]
-			}
-		}
 		n.setInfo(h, v, term)
 		h.retiring = h.info.retiring
 		if h.info.quiet == 0 {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -20,6 +20,7 @@
 	rigs      set // the types allowed, unless any is
 	any       bool
 	spot      bool
+	specBytes int   // of a bulk job's record, without its lists
 	bulk      bool  // more tasks than can be active one by one, see bulk.go
 	pend      []int // tasks neither done nor active; good while pendKnown
 	pendKnown bool
@@ -119,7 +120,9 @@
 		j.zone = n.zones.Of(sp.Zone)
 	}
 	j.spot, j.any = sp.Spot, len(sp.Rigs) == 0 && !sp.RigsForbidAll
-	j.bulk = sp.Shape == wire.ShapeArray && sp.Frames > n.activeLimit()
+	if j.bulk = sp.Shape == wire.ShapeArray && sp.Frames > n.activeLimit(); j.bulk {
+		j.specBytes = specCost(sp)
+	}
 	for _, name := range sp.Rigs {
 		j.rigs.add(n.rigs.Of(name))
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -175,6 +175,9 @@
 	if n.now-n.leadLease.sent > n.leadLease.ttl || n.leadLease.id != n.ledUnder {
 		return
 	}
+	if n.wokeAt > 0 && n.now-n.wokeAt < 2*second {
+		return // the peers tell every second
+	}
 	n.cloudTick()
 	if n.now < l.at || (!l.dirty && n.now < l.at+second) || n.types == nil {
 		return
@@ -299,12 +302,14 @@
 	p.chargeGrants()
 	n.hopedFor(p)
 	idle := p.idleSlots()
-	left := p.serveQueues(n.queues())
+	qs, spares := p.apart(n.queues())
+	left := p.serveQueues(qs)
 	if !slices.Equal(p.kept, n.leader.kept) {
 		n.leader.kept = p.kept
 		n.gossip(true)
 	}
 	p.keepReserve()
+	left = p.serveQueues(spares)
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
 		switch {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -376,6 +376,25 @@
 	return len(j.rec.Active) > 0 || j.rec.Next > 1 || j.blockedSince == 0 || p.n.now-j.blockedSince < sparePatience
 }
 
+// apart takes the work that is to fill what is spare out of the queues. It is
+// served when the room that others will need at once has been set aside.
+func (p *plan) apart(qs []*teamQueue) (rest, spares []*teamQueue) {
+	for _, q := range qs {
+		if slices.ContainsFunc(q.wants, p.sparesOnly) {
+			x := &teamQueue{team: q.team}
+			q.wants = slices.DeleteFunc(q.wants, func(w *want) bool {
+				if p.sparesOnly(w) {
+					x.wants = append(x.wants, w)
+					return true
+				}
+				return false
+			})
+			spares = append(spares, x)
+		}
+	}
+	return qs, spares
+}
+
 // sparePatience is how long work that fills what is spare waits for that.
 const sparePatience = 60 * second
 
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -176,6 +176,8 @@
 		w.Deafen(int(num(0)), dur(1))
 	case "crash": // controller, seconds until it is back
 		w.Crash(int(num(0)), dur(1))
+	case "freeze": // controller, seconds for which it stands still
+		w.Freeze(int(num(0)), dur(1))
 	case "outage":
 		w.Outage(dur(0))
 	case "refuse": // controller, seconds
@@ -376,7 +378,9 @@
 			w.trouble(verb, up[w.rng.IntN(len(up))], d)
 		}
 	}
-	switch w.rng.IntN(18) {
+	switch w.rng.IntN(19) {
+	case 18:
+		w.Freeze(n, d)
 	case 0, 1:
 		w.Crash(n, min(d, 10*time.Second))
 	case 2:
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -98,6 +98,11 @@
 	drift float64
 	wait  map[uint64]func(core.Reply)
 	req   uint64
+
+	still   time.Duration // until when it stands still
+	backlog []any         // what has come meanwhile
+	stuck   []any         // effects that it had decided on when it stopped
+	stops   bool          // before the effects of its next step
 }
 
 type event struct {
@@ -242,6 +247,7 @@
 	w := n.w
 	n.up, n.boot = true, w.now
 	n.life++
+	n.still, n.stops, n.stuck, n.backlog = 0, false, nil, nil
 	n.wait = map[uint64]func(core.Reply){}
 	cfg := core.Config{
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
@@ -283,12 +289,48 @@
 	if !n.up {
 		return
 	}
+	if n.w.now < n.still && !n.stops {
+		if _, tick := in.(core.Tick); !tick {
+			n.backlog = append(n.backlog, in)
+		}
+		return
+	}
 	local := time.Duration(float64(n.w.now-n.boot) * n.drift)
-	for _, e := range n.core.Step(local, in) {
+	out := n.core.Step(local, in)
+	if n.stops {
+		n.stops, n.stuck = false, out
+		return
+	}
+	for _, e := range out {
 		n.perform(e)
 	}
 }
 
+// Freeze makes a controller stand still while its clocks run on: between
+// deciding and doing, at every second time.
+func (w *World) Freeze(ix int, d time.Duration) {
+	n := w.nodes[ix]
+	if !n.up {
+		return
+	}
+	w.troubled(d)
+	n.still, n.stops = w.now+d, w.rng.IntN(2) == 0
+	life := n.life
+	w.after(d, func() {
+		if n.life != life || !n.up || w.now < n.still {
+			return
+		}
+		stuck, backlog := n.stuck, n.backlog
+		n.stuck, n.backlog, n.stops = nil, nil, false
+		for _, e := range stuck {
+			n.perform(e)
+		}
+		for _, in := range backlog {
+			n.step(in)
+		}
+	})
+}
+
 // deliver gives an input to the same life of the controller after a delay.
 func (n *node) deliver(d time.Duration, in any) {
 	life := n.life
