--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -16,25 +16,17 @@
 	return n.activeLimit()
 }
 
-// What a run of active tasks and a range of done ones take at most in the form
-// in which values are measured, the name of the machine aside.
-const (
-	runCost   = 36
-	rangeCost = 16
-)
+// rangeCost is what a range of done tasks takes at most in the form in which
+// values are measured.
+const rangeCost = 16
 
 // recordCost bounds the size of the lists in a job's record.
 func recordCost(active wire.Actives, done [][2]int) int {
-	cost := rangeCost * len(done)
-	for at := 0; at < len(active); {
-		cost += runCost + len(active[at].Host)
-		_, at = active.Run(at)
-	}
-	return cost
+	return active.Cost() + rangeCost*len(done)
 }
 
 // forLists is the part of a value that the lists of a bulk job may take.
-func (n *Node) forLists(j *job) int { return max(2*runCost, n.cfg.ValueBytes-j.specBytes) }
+func (n *Node) forLists(j *job) int { return max(100, n.cfg.ValueBytes-j.specBytes) }
 
 // specCost bounds the rest of a bulk job's record, in the form in which values are
 // measured: names of fields take more there than in ours.
@@ -46,12 +38,12 @@
 	return 3*len(b)/2 + 600
 }
 
-// nameCost is what the name of a machine takes.
-func (n *Node) nameCost() int {
+// aRun is what one more run on some machine takes.
+func (n *Node) aRun() int {
 	if len(n.hosts) == 0 {
-		return 20
+		return wire.RunCost("vm-000000")
 	}
-	return len(n.hosts[len(n.hosts)-1].name) + 1
+	return wire.RunCost(n.hosts[len(n.hosts)-1].name) + 1
 }
 
 // gatherFor is how long a result waits for others of the same job when puts
@@ -63,7 +55,7 @@
 	if j.rec == nil || j.rec.Spec == nil || j.rec.State != wire.Live || j.rec.Spec.Shape != wire.ShapeArray || len(j.rec.Active) < 2 {
 		return pause
 	}
-	if j.prio == 0 {
+	if pause *= 2; j.prio == 0 {
 		pause *= 4
 	}
 	if j.bulk {
@@ -102,8 +94,8 @@
 	if !j.bulk || j.rec.State != wire.Live {
 		return true
 	}
-	if room := x.of(j); room > 2*(runCost+len(host)+rangeCost) {
-		x.left[j.ix] = room - runCost - len(host) - rangeCost
+	if room, cost := x.of(j), wire.RunCost(host)+rangeCost; room > 2*cost {
+		x.left[j.ix] = room - cost
 		return true
 	}
 	at := x.n.activeAt(k, host)
@@ -137,7 +129,7 @@
 	if !j.bulk {
 		return true
 	}
-	if room, cost := x.of(j), runCost+x.n.nameCost(); room > 2*cost {
+	if room, cost := x.of(j), x.n.aRun(); room > 2*cost {
 		x.left[j.ix] = room - cost
 		return true
 	}
@@ -151,7 +143,7 @@
 // granted but not placed counts by the machines that the grants had in mind.
 // An eighth is left for runs that their owners have to split.
 func (n *Node) runsLeft(j *job) int {
-	cost, each := recordCost(j.rec.Active, j.rec.DoneSet), runCost+n.nameCost()
+	cost, each := recordCost(j.rec.Active, j.rec.DoneSet), n.aRun()
 	var last *host
 	for i := range j.rec.Active {
 		if a := &j.rec.Active[i]; a.Host == "" {
@@ -174,7 +166,7 @@
 	return max(0, k)
 }
 
-const grantGather = 2 * second
+const grantGather = 4 * second
 
 // grantPause is how long the leader gathers what it grants to an array that
 // fills spare room or is bulk. It counts from the last grant: the record of a
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -309,7 +309,8 @@
 		n.gossip(true)
 	}
 	p.keepReserve()
-	left = p.serveQueues(spares)
+	// What fills spare room must not claim the puts that others need.
+	left += min(p.serveQueues(spares)-left, sparesNeed)
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
 		switch {
@@ -327,6 +328,10 @@
 	return left
 }
 
+// sparesNeed is how many of the grants of spare work that found no put count
+// when the puts are shared.
+const sparesNeed = 5
+
 // chargeGrants takes room for grants that their owners have not placed yet.
 func (p *plan) chargeGrants() {
 	n := p.n
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -261,6 +261,8 @@
 			s.Cards = x
 		case "cores":
 			s.Cores = x
+		case "mem":
+			s.MemoryGB = x
 		case "image":
 			s.Image = v
 		case "gb":
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -253,7 +253,8 @@
 		Self: n.label, Zone: n.zone, Life: fmt.Sprintf("%s-%d", n.label, n.life), Zones: w.Zones, Teams: w.Teams,
 		Report: w.Report, Lease: w.Lease, GangWait: w.GangWait,
 		Validity: config.Validity(w.Lease, w.Cancel), LeaderTTL: 5 * time.Second, TxnOps: w.TxnOps, ValueBytes: w.ValueBytes,
-		ListLag: 4 * time.Second, BatchPuts: w.batchPuts(), CloudRPS: 2, StateRPS: 250, WriteRPS: w.WriteRPS, IdleReturn: w.Idle, Spares: 1, Preempt: true,
+		BulkTasks: 600,
+		ListLag:   4 * time.Second, BatchPuts: w.batchPuts(), CloudRPS: 2, StateRPS: 250, WriteRPS: w.WriteRPS, IdleReturn: w.Idle, Spares: 1, Preempt: true,
 		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
 	for _, m := range w.nodes {
