--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -61,7 +61,29 @@
 	if j.bulk {
 		pause = max(pause, resultPause)
 	}
-	return pause
+	return min(pause, aQuarter(j))
+}
+
+// aQuarter bounds what is gathered for a job's tasks by a quarter of the time that
+// they are said to take.
+func aQuarter(j *job) Time {
+	return max(resultPause, Time(j.rec.Spec.ExpectedS*float64(second)/4))
+}
+
+// bulkParts is how many parts a bulk job may be in: each owner writes its record
+// for itself.
+const bulkParts = 3
+
+// mayEnter tells whether a bulk job may have tasks in one more part.
+func (w *want) mayEnter(part int) bool {
+	if !w.j.bulk || part < 0 || w.parts[part] > 0 {
+		return true
+	}
+	in := 0
+	for _, k := range w.parts {
+		in += b2i(k > 0)
+	}
+	return in < bulkParts
 }
 
 // slack is the room that is left in the records of bulk jobs while an owner
@@ -175,5 +197,5 @@
 	if len(j.rec.Active) == 0 || j.rec.Spec.Shape != wire.ShapeArray || j.prio > 0 && !j.bulk {
 		return 0
 	}
-	return Time(float64(grantGather) * n.scarcity())
+	return min(Time(float64(grantGather)*n.scarcity()), aQuarter(j))
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -273,6 +273,7 @@
 	starved *want        // the gang that gathers room before all others
 	kept    []wire.Kept  // for it
 	misses  []miss       // demands that found no free room in this pass
+	spares  bool         // some work is to fill what is spare
 	left    int          // grants that found no put, at most 50
 	stops   int
 	waiting int // tasks for which there was no room
@@ -310,7 +311,7 @@
 	}
 	p.keepReserve()
 	// What fills spare room must not claim the puts that others need.
-	left += min(p.serveQueues(spares)-left, sparesNeed)
+	left += (p.serveQueues(spares) - left) / sparesShare
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
 		switch {
@@ -328,9 +329,9 @@
 	return left
 }
 
-// sparesNeed is how many of the grants of spare work that found no put count
-// when the puts are shared.
-const sparesNeed = 5
+// sparesShare is how many grants of spare work that found no put count as one when
+// the puts are shared.
+const sparesShare = 4
 
 // chargeGrants takes room for grants that their owners have not placed yet.
 func (p *plan) chargeGrants() {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -78,7 +78,9 @@
 		}
 	}
 	for _, q := range out {
-		slices.SortStableFunc(q.wants, func(a, b *want) int { return b.rank() - a.rank() })
+		slices.SortStableFunc(q.wants, func(a, b *want) int {
+			return cmp.Or(b.rank()-a.rank(), b2i(a.j.bulk)-b2i(b.j.bulk)) // a huge array leaves little to those behind it
+		})
 	}
 	return out
 }
@@ -229,6 +231,8 @@
 			return 0
 		case started && w.parts[s.part] == 0:
 			return newPart * scarce
+		case j.bulk: // begun in different parts, several don't meet
+			return ownPart * float64(b2i(!started && s.part != j.ix%len(p.n.parts)))
 		case !started && !p.n.holds(p.n.parts[s.part]):
 			return ownPart * scarce
 		}
@@ -262,7 +266,7 @@
 		if reluctant && !s.spot && s.untouched() {
 			return false
 		}
-		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
+		if sp.Spread && zones[s.zone] >= zoneLimit(sp) || !w.mayEnter(s.part) {
 			return false
 		}
 		if sp.SameZone {
@@ -390,6 +394,7 @@
 				return false
 			})
 			spares = append(spares, x)
+			p.spares = true
 		}
 	}
 	return qs, spares
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -20,6 +20,9 @@
 	sample *job // the newest
 	list   []arrival
 	ends   []arrival // jobs that have given their machines back
+	// spare: it has no such aim, but belongs to a team with a guarantee. Room for
+	// it is only kept free of work that fills what is spare.
+	spare bool
 }
 
 type arrival struct {
@@ -45,8 +48,13 @@
 	if !n.counting() {
 		return
 	}
+	class := j.rec.Spec.Class
+	if t := j.team; t >= 0 && (n.cfg.Teams[t].Cards > 0 || n.cfg.Teams[t].Cores > 0) && len(n.arrivals) < maxClasses &&
+		!slices.ContainsFunc(n.arrivals, func(a *arrivals) bool { return a.class == class }) {
+		n.arrivals = append(n.arrivals, &arrivals{class: class, spare: true})
+	}
 	for _, a := range n.arrivals {
-		if a.class == j.rec.Spec.Class {
+		if a.class == class {
 			a.sample = j
 			a.list = append(a.forget(n.now).list, arrival{n.now, min(j.rec.Frames, n.activeLimit())})
 		}
@@ -116,6 +124,12 @@
 			continue
 		}
 		lead := n.lead(j)
+		if a.spare {
+			if p.spares {
+				p.keepFree(j, a.reserve(n.now, n.countedFrom, 2*n.cfg.Report+second))
+			}
+			continue
+		}
 		// Where an image alone takes longer, a machine that is up is no help;
 		// where a boot is quick enough, there is no need of one.
 		if lead == 0 || lead+n.imageTime(j) < a.within {
@@ -137,6 +151,22 @@
 	}
 }
 
+// maxClasses bounds the classes that are told apart.
+const maxClasses = 64
+
+// keepFree takes free room for tasks that will probably come before what fills
+// spare room could be stopped for them: that takes a report to be told and one to
+// show it.
+func (p *plan) keepFree(j *job, tasks int) {
+	for range tasks {
+		s := p.up.best(j, nil, nil)
+		if s == nil {
+			return
+		}
+		s.take(j.rec.Spec)
+	}
+}
+
 // sampleOf is the newest job of the class that still has its specification, or
 // nil: a finished record has dropped it.
 func (n *Node) sampleOf(a *arrivals) *job {
