--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -70,22 +70,6 @@
 	return max(resultPause, Time(j.rec.Spec.ExpectedS*float64(second)/4))
 }
 
-// bulkParts is how many parts a bulk job may be in: each owner writes its record
-// for itself.
-const bulkParts = 3
-
-// mayEnter tells whether a bulk job may have tasks in one more part.
-func (w *want) mayEnter(part int) bool {
-	if !w.j.bulk || part < 0 || w.parts[part] > 0 {
-		return true
-	}
-	in := 0
-	for _, k := range w.parts {
-		in += b2i(k > 0)
-	}
-	return in < bulkParts
-}
-
 // slack is the room that is left in the records of bulk jobs while an owner
 // changes them. Taking single tasks out of runs can only make a record larger:
 // when there is no room for that, ends wait until the whole run has ended.
@@ -197,5 +181,9 @@
 	if len(j.rec.Active) == 0 || j.rec.Spec.Shape != wire.ShapeArray || j.prio > 0 && !j.bulk {
 		return 0
 	}
-	return min(Time(float64(grantGather)*n.scarcity()), aQuarter(j))
+	pause := Time(float64(grantGather) * n.scarcity())
+	if j.bulk {
+		pause = max(pause, resultPause)
+	}
+	return min(pause, aQuarter(j))
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -331,7 +331,7 @@
 
 // sparesShare is how many grants of spare work that found no put count as one when
 // the puts are shared.
-const sparesShare = 4
+const sparesShare = 3
 
 // chargeGrants takes room for grants that their owners have not placed yet.
 func (p *plan) chargeGrants() {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -79,7 +79,9 @@
 	}
 	for _, q := range out {
 		slices.SortStableFunc(q.wants, func(a, b *want) int {
-			return cmp.Or(b.rank()-a.rank(), b2i(a.j.bulk)-b2i(b.j.bulk)) // a huge array leaves little to those behind it
+			// A bulk job's turn comes seldom and takes one put; behind a swarm of
+			// small jobs, which need one each, it would never come.
+			return cmp.Or(b.rank()-a.rank(), b2i(b.j.bulk)-b2i(a.j.bulk))
 		})
 	}
 	return out
@@ -266,7 +268,7 @@
 		if reluctant && !s.spot && s.untouched() {
 			return false
 		}
-		if sp.Spread && zones[s.zone] >= zoneLimit(sp) || !w.mayEnter(s.part) {
+		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
 			return false
 		}
 		if sp.SameZone {
