--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -195,8 +195,9 @@
 				continue
 			}
 			silent := n.now - h.heard
+			h.sick = h.sick && n.errorsOn(h) > 0 // the jobs may have turned out to be at fault
 			v := view{known: true, leaving: h.leavingAt > 0, retiring: h.retiring, sick: h.sick, unsure: !h.token && !h.newborn,
-				errors: len(h.errJobs), images: n.countImages(h)}
+				errors: n.errorsOn(h), images: n.countImages(h)}
 			switch {
 			case silent > 3*n.cfg.Report:
 				v.quiet = 2
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -339,7 +339,7 @@
 // hireFor adds a machine to be hired for a task, if there may be one.
 func (p *plan) hireFor(w *want, ok func(*slot) bool) *slot {
 	n := p.n
-	if n.cfg.MaxMachines > 0 && len(p.up.all)+len(p.hope.all) >= n.cfg.MaxMachines {
+	if w.j.suspect || n.cfg.MaxMachines > 0 && len(p.up.all)+len(p.hope.all) >= n.cfg.MaxMachines {
 		return nil
 	}
 	for _, x := range p.pools(w.j) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -31,6 +31,7 @@
 	preemptAt    Time // not before this is anything stopped for it again
 	notBefore    Time
 	errorsSeen   int
+	suspect      bool // failed wherever it ran: rather the job's fault than the machines'
 	changed      Time // when our copy last changed
 	closedAt     Time // when our copy first showed it done or withdrawn
 	grantedAt    Time // when we, as the leader, last granted anything of it
@@ -90,6 +91,11 @@
 		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
 	}
 	j.errorsSeen = rec.Errors
+	if rec.Errors >= 3 && len(rec.Avoid) >= 3 && len(rec.DoneSet) == 0 {
+		j.suspect = true
+	} else if rec.State == wire.Done || len(rec.DoneSet) > 0 {
+		j.suspect = false
+	}
 	j.unplaced = 0
 	for i := range rec.Active {
 		if rec.Active[i].Host == "" {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -28,7 +28,7 @@
 		}
 		// Two jobs failing here, or one that runs elsewhere, speak against
 		// the machine rather than the job.
-		if len(h.errJobs) >= 2 || countDone(j.rec.DoneSet) > 0 {
+		if n.errorsOn(h) >= 2 || countDone(j.rec.DoneSet) > 0 {
 			h.sick = true
 		}
 		n.ownInfoAt = 0 // before more is granted to it
@@ -38,6 +38,18 @@
 	n.log(0, "task ended", "job", j.ref, "task", k.task, "attempt", k.attempt, "host", h.name, "cause", t.Cause)
 }
 
+// errorsOn counts the jobs that failed on a machine since something last succeeded
+// there. A job that has failed on three machines and never succeeded says nothing
+// against them: a few such jobs once put one sound machine after the other under
+// quarantine, until their users withdrew them.
+func (n *Node) errorsOn(h *host) int {
+	c := 0
+	for jx := range h.errJobs {
+		c += b2i(!n.jobs[jx].suspect)
+	}
+	return c
+}
+
 // usable tells whether an owner may place tasks on a machine of its own.
 func (n *Node) usable(h *host) bool {
 	if h.part < 0 {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -70,6 +70,9 @@
 			if w.runs <= 0 || n.now-j.grantedAt < n.grantPause(j) {
 				w.tasks = nil
 			}
+			if j.suspect { // one task shows as much as many
+				w.tasks = w.tasks[:min(len(w.tasks), b2i(len(j.rec.Active) == 0))]
+			}
 		}
 		if len(w.tasks) > 0 {
 			q.wants = append(q.wants, w)
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -458,7 +458,7 @@
 	return nil
 }
 
-// expectWorld checks machines<=N, machines>=N, leaders<=N, claims<=N of parts, sick=0, muted=0,
+// expectWorld checks machines<=N, machines>=N, returned<=N machines, leaders<=N, claims<=N of parts, sick=0, muted=0,
 // owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
 // refused<=N commits, looks_per_report<=N at machines by all controllers, and
 // bytes_per_s<=N between controllers.
@@ -468,7 +468,7 @@
 		limit, _ := strconv.Atoi(v)
 		seconds := max(1, int((w.now - w.meter.since).Seconds()))
 		count := map[string]int{
-			"machines": len(w.up()), "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
+			"machines": len(w.up()), "returned": w.cloud.returns, "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
 			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
 			"bytes_per_s":      w.meter.bytes / seconds,
 		}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -287,6 +287,8 @@
 	outage bool
 	short  bool
 	flavor wire.Flavor
+
+	returns int // machines that controllers have returned
 }
 
 type machine struct {
@@ -338,6 +340,7 @@
 		c.hires[q.Hire.Name], c.asked[q.Hire.Name] = r.Hosts, *q.Hire
 	case q.Return != nil:
 		for _, name := range q.Return {
+			c.returns++
 			c.kill(name)
 		}
 	}
