--- /dev/null
+++ b/internal/core/gather.go
@@ -0,0 +1,265 @@
+package core
+
+import (
+	"slices"
+
+	"micaport/internal/wire"
+)
+
+// serveGang grants a whole gang or nothing.
+func (p *plan) serveGang(w *want) {
+	j, sp := w.j, w.j.rec.Spec
+	if !p.quota(j, len(w.tasks)) {
+		// Its team's smaller jobs would take what becomes free of the limit
+		// for ever: after its patience the limit is kept for it.
+		p.blocked(j)
+		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience {
+			p.used[j.team].add(sp, float64(len(w.tasks)))
+		}
+		return
+	}
+	if chosen := p.gangSlots(w); chosen != nil {
+		if !p.grant(j, w.tasks, chosen) {
+			p.used[j.team].add(sp, float64(len(w.tasks)))
+		}
+		for _, s := range chosen {
+			s.fetching(j)
+			s.take(sp)
+		}
+		j.blockedSince = 0
+		return
+	}
+	p.blocked(j)
+	p.waiting += len(w.tasks)
+	if len(w.tasks) == 1 {
+		for _, s := range p.up.soon {
+			if s.suits(j) && s.fitsSoon(sp) {
+				s.take(sp)
+				return
+			}
+		}
+		if s := p.preempt(w, func(*slot) bool { return true }); s != nil {
+			s.take(sp)
+			return
+		}
+	}
+	p.awaitGang(w)
+}
+
+// gangSlots chooses machines for a gang: from one part if any has the room,
+// else from one zone, else from anywhere unless the zone has to be one.
+func (p *plan) gangSlots(w *want) []*slot {
+	var best []*slot
+	bestScore := 0.0
+	try := func(in func(part, zone int) bool, penalty float64) {
+		if p.up.roomFor(w.j, in) < len(w.tasks) {
+			return
+		}
+		chosen, score := p.pick(w, func(s *slot) bool { return in(s.part, s.zone) })
+		if chosen != nil && (best == nil || score+penalty < bestScore) {
+			best, bestScore = chosen, score+penalty
+		}
+	}
+	for _, x := range p.n.parts {
+		try(func(part, _ int) bool { return part == x.ix }, 0)
+	}
+	if best != nil && len(w.tasks) == 1 {
+		return best
+	}
+	for z := range p.n.zones.Len() {
+		try(func(part, zone int) bool { return zone == z && part >= 0 }, 10)
+	}
+	if !w.j.rec.Spec.SameZone {
+		try(func(part, _ int) bool { return part >= 0 }, 20)
+	}
+	return best
+}
+
+// roomFor bounds how many tasks of a job find room, from above.
+func (x *slotSet) roomFor(j *job, in func(part, zone int) bool) int {
+	sp, sum := j.rec.Spec, 0
+	for _, c := range x.order {
+		if !in(c.part, c.zone) || !j.allows(c.rig, c.zone, c.spot) {
+			continue
+		}
+		each := 1 << 10
+		if sp.Cards >= 1 {
+			each = (c.cards + 1) / int(sp.Cards)
+			if float64(c.cards)+1 < sp.Cards+eps {
+				each = c.cards / int(sp.Cards)
+			}
+		}
+		sum += each * len(*x.open[c])
+	}
+	return sum
+}
+
+// pick chooses greedily and undoes its taking.
+func (p *plan) pick(w *want, ok func(*slot) bool) ([]*slot, float64) {
+	sp := w.j.rec.Spec
+	var chosen []*slot
+	worst := 0.0
+	zones := make([]int, p.n.zones.Len())
+	for range w.tasks {
+		s := p.up.best(w.j, func(s *slot) bool {
+			return ok(s) && !(sp.Spread && zones[s.zone] >= zoneLimit(sp))
+		}, nil)
+		if s == nil {
+			break
+		}
+		worst = max(worst, p.n.score(w.j, s))
+		s.take(sp)
+		zones[s.zone]++
+		chosen = append(chosen, s)
+	}
+	for _, s := range chosen {
+		s.give(sp, 1)
+	}
+	if len(chosen) < len(w.tasks) {
+		return nil, 0
+	}
+	return chosen, worst
+}
+
+// source is a place that a gang which does not fit yet may get.
+type source struct {
+	s       *slot
+	victims []victim
+	drain   bool
+	cost    float64
+}
+
+// choice is how a gang could get its room in one zone.
+type choice struct {
+	zone int // -1: any
+	from []source
+	hire int
+	cost float64
+}
+
+// awaitGang makes room for a gang that does not fit yet, in the zone where
+// that costs least: it keeps what is free, about to be free or booting, hires,
+// stops work that it may stop, and as the last resort keeps machines from
+// being filled again until what runs there has ended.
+func (p *plan) awaitGang(w *want) {
+	sp := w.j.rec.Spec
+	mayEvict := p.mayPreempt(w)
+	var best *choice
+	if sp.SameZone && w.j.zone < 0 {
+		for z := range p.n.zones.Len() {
+			if c := p.gather(w, z, mayEvict); best == nil || c.cost < best.cost {
+				best = c
+			}
+		}
+	} else {
+		best = p.gather(w, w.j.zone, mayEvict)
+	}
+	w.j.gangZone = best.zone
+	stopped := false
+	for _, x := range best.from {
+		if w == p.starved && x.s.h != nil {
+			p.kept = append(p.kept, wire.Kept{Host: x.s.h.name, Ref: w.j.ref})
+		}
+		switch {
+		case len(x.victims) > 0:
+			if p.stop(w, x.victims) {
+				stopped = true
+			}
+			x.s.reserved = true
+		case x.drain:
+			x.s.reserved = true
+		default:
+			x.s.take(sp)
+		}
+	}
+	if stopped {
+		w.j.preemptAt = p.n.now + 3*p.n.cfg.Report
+	}
+	for range best.hire {
+		s := p.hireFor(w, func(s *slot) bool { return best.zone < 0 || s.zone == best.zone })
+		if s == nil {
+			return
+		}
+		s.take(sp)
+	}
+}
+
+// gather works out what a gang's room in a zone would cost.
+func (p *plan) gather(w *want, zone int, mayEvict bool) *choice {
+	sp := w.j.rec.Spec
+	c := &choice{zone: zone}
+	canHire := p.canHire(w.j, zone)
+	var all []source
+	seen := map[*slot]bool{}
+	add := func(s *slot, cost float64) {
+		if s.reserved || seen[s] || zone >= 0 && s.zone != zone || !s.suits(w.j) || !s.fitsSoon(sp) {
+			return
+		}
+		seen[s] = true
+		// What it can take is worked out on a copy.
+		for room := *s; room.fitsSoon(sp) && len(all) < 4*len(w.tasks); {
+			room.in = nil
+			room.take(sp)
+			all = append(all, source{s: s, cost: cost})
+		}
+	}
+	for _, k := range p.up.order {
+		if (zone < 0 || k.zone == zone) && w.j.allows(k.rig, k.zone, k.spot) {
+			for _, s := range *p.up.open[k] {
+				p.n.work++
+				add(s, 0)
+			}
+		}
+	}
+	for _, s := range p.up.soon {
+		add(s, 0)
+	}
+	for _, s := range p.hope.all {
+		if len(all) >= 4*len(w.tasks) {
+			break
+		}
+		add(s, 15)
+	}
+	if mayEvict || !canHire {
+		for _, s := range p.up.all {
+			if zone >= 0 && s.zone != zone || s.reserved || seen[s] || s.h.leastPrio == noPrio || !s.suits(w.j) {
+				continue
+			}
+			p.n.work++
+			if mayEvict && s.h.leastPrio <= w.j.prio {
+				if v, ok := p.clearing(w, s, false); ok {
+					cost := 10.0
+					for _, x := range v {
+						cost += x.cost / 4
+					}
+					all = append(all, source{s: s, victims: v, cost: cost})
+					continue
+				}
+			}
+			if !canHire {
+				if _, ok := p.clearing(w, s, true); ok {
+					all = append(all, source{s: s, drain: true, cost: 60})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b source) int { return int(a.cost) - int(b.cost) })
+	if canHire {
+		if at := slices.IndexFunc(all, func(x source) bool { return x.cost > 30 }); at >= 0 {
+			all = all[:at]
+		}
+	}
+	c.from = all[:min(len(all), len(w.tasks))]
+	for _, x := range c.from {
+		c.cost += x.cost
+	}
+	c.hire = len(w.tasks) - len(c.from)
+	c.cost += float64(c.hire) * 30
+	if c.hire > 0 && !canHire {
+		c.cost += 1000 * float64(c.hire)
+	}
+	if zone >= 0 && zone == w.j.gangZone {
+		c.cost -= 10 // rather go on where room is being made already
+	}
+	return c
+}
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -21,6 +21,7 @@
 	hireSeq  int
 	hires    []*hiring
 	booting  map[string]*bootingHost
+	boots    []boot // the last that have come up
 	backoff  map[pool]Time
 	short    map[pool]Time // when it last had fewer machines than were asked for
 	retiring map[string]bool
@@ -192,7 +193,7 @@
 		case m.Status == wire.MachineFailed:
 			back = append(back, m.Name)
 		case known:
-			delete(c.booting, m.Name)
+			c.cameUp(n, m.Name)
 			delete(c.stray, m.Name)
 		case m.Status == wire.MachineBooting:
 			b := c.booting[m.Name]
@@ -201,8 +202,10 @@
 				c.booting[m.Name] = b
 			}
 			b.seen = true
-			if r != nil && m.AgeS > giveUpBoot*r.BootS+5 {
-				back = append(back, m.Name)
+			if r != nil {
+				if _, giveUp := n.overdue(r, n.now-Time(m.AgeS*float64(second))); giveUp {
+					back = append(back, m.Name)
+				}
 			}
 		default:
 			if c.stray[m.Name] == 0 {
@@ -223,15 +226,6 @@
 	}
 }
 
-// A machine boots in up to one and a half times its type's boot time. One that
-// takes longer may take several times as long or never come: it is planned
-// without from then on, and returned a little later if it still has not come,
-// as it costs money and takes the place of another.
-const (
-	lateBoot   = 1.6
-	giveUpBoot = 2.0
-)
-
 // hopedFor adds machines that are on their way, as room to plan with.
 func (n *Node) hopedFor(p *plan) {
 	c := &n.leader.cloud
@@ -243,11 +237,13 @@
 	for _, name := range names {
 		b := c.booting[name]
 		if ix := n.hostIx.Find(name); ix >= 0 && n.hosts[ix].info.known {
-			delete(c.booting, name)
+			c.cameUp(n, name)
 			continue
 		}
-		if r := n.flavor(b.pool.rig); r != nil && (n.now-b.since).Seconds() > lateBoot*r.BootS+3 {
-			continue // late: plan without it
+		if r := n.flavor(b.pool.rig); r != nil {
+			if late, _ := n.overdue(r, b.since); late {
+				continue // plan without it
+			}
 		}
 		p.await(b.pool)
 	}
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -154,19 +154,6 @@
 // maxClasses bounds the classes that are told apart.
 const maxClasses = 64
 
-// keepFree takes free room for tasks that will probably come before what fills
-// spare room could be stopped for them: that takes a report to be told and one to
-// show it.
-func (p *plan) keepFree(j *job, tasks int) {
-	for range tasks {
-		s := p.up.best(j, nil, nil)
-		if s == nil {
-			return
-		}
-		s.take(j.rec.Spec)
-	}
-}
-
 // sampleOf is the newest job of the class that still has its specification, or
 // nil: a finished record has dropped it.
 func (n *Node) sampleOf(a *arrivals) *job {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -178,6 +178,19 @@
 		w.Crash(int(num(0)), dur(1))
 	case "freeze": // controller, seconds for which it stands still
 		w.Freeze(int(num(0)), dur(1))
+	case "boots": // times as long, share that never comes, seconds
+		w.cloud.late, w.cloud.never, w.cloud.lateTo = num(0), num(1), w.now+dur(2)
+		w.troubled(dur(2))
+	case "polls": // seconds for which each user asks COUNT times a second
+		for s := range int(num(0)) {
+			w.after(time.Duration(s)*time.Second, func() {
+				for i := range int(num(1)) {
+					for _, u := range w.order {
+						w.after(time.Duration(i)*time.Second/time.Duration(num(1)), u.poll)
+					}
+				}
+			})
+		}
 	case "outage":
 		w.Outage(dur(0))
 	case "refuse": // controller, seconds
@@ -458,7 +471,7 @@
 	return nil
 }
 
-// expectWorld checks machines<=N, machines>=N, returned<=N machines, leaders<=N, claims<=N of parts, sick=0, muted=0,
+// expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, muted=0,
 // owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
 // refused<=N commits, looks_per_report<=N at machines by all controllers, and
 // bytes_per_s<=N between controllers.
@@ -468,7 +481,7 @@
 		limit, _ := strconv.Atoi(v)
 		seconds := max(1, int((w.now - w.meter.since).Seconds()))
 		count := map[string]int{
-			"machines": len(w.up()), "returned": w.cloud.returns, "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
+			"machines": len(w.up()), "returned": w.cloud.returns, "waiting": w.cloud.booting(), "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
 			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
 			"bytes_per_s":      w.meter.bytes / seconds,
 		}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -289,6 +289,9 @@
 	flavor wire.Flavor
 
 	returns int // machines that controllers have returned
+
+	lateTo      time.Duration // until when what is hired boots late or never
+	late, never float64
 }
 
 type machine struct {
@@ -347,6 +350,17 @@
 	return r
 }
 
+// booting counts the machines that are rented and not up.
+func (c *cloud) booting() int {
+	k := 0
+	for _, m := range c.hosts {
+		if !m.dead && m.Status == wire.MachineBooting {
+			k++
+		}
+	}
+	return k
+}
+
 func (c *cloud) hire(h *wire.Hire) []string {
 	have := 0
 	for _, m := range c.hosts {
@@ -366,6 +380,12 @@
 		c.hosts[name] = m
 		out = append(out, name)
 		boot := time.Duration(float64(c.w.Boot) * (0.6 + 0.9*c.w.rng.Float64()))
+		if c.w.now < c.lateTo {
+			if c.w.rng.Float64() < c.never {
+				continue // it stays booting, and is paid for, until it is returned
+			}
+			boot = time.Duration(float64(boot) * c.late)
+		}
 		c.w.after(boot, func() {
 			if !m.dead {
 				m.Status = wire.MachineRunning
