--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -55,8 +55,8 @@
 	if j.rec == nil || j.rec.Spec == nil || j.rec.State != wire.Live || j.rec.Spec.Shape != wire.ShapeArray || len(j.rec.Active) < 2 {
 		return pause
 	}
-	if pause *= 2; j.prio == 0 {
-		pause *= 4
+	if j.prio == 0 {
+		pause *= 8
 	}
 	if j.bulk {
 		pause = max(pause, resultPause)
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -238,7 +238,7 @@
 			return newPart * scarce
 		case j.bulk: // begun in different parts, several don't meet
 			return ownPart * float64(b2i(!started && s.part != j.ix%len(p.n.parts)))
-		case !started && !p.n.holds(p.n.parts[s.part]):
+		case !started && j.prio == 0 && !p.n.holds(p.n.parts[s.part]):
 			return ownPart * scarce
 		}
 		return 0
@@ -342,8 +342,8 @@
 
 // newPart is what it counts, in seconds, to spread a job over one more part
 // when puts are scarce: each part's owner has to write the job's record. ownPart
-// is what it counts to begin it in a part that is not the leader's own, where
-// the grant chooses the machine and saves a put.
+// is what it counts to begin work of low urgency in a part that is not the
+// leader's own, where the grant chooses the machine and saves a put.
 const (
 	newPart = 8
 	ownPart = 3
