--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -28,6 +28,8 @@
 	since     time.Duration // when it first submitted
 	begun     time.Duration // when all of a gang, or the first of other tasks, ran; 0: not yet
 	on        []*taskSim    // its tasks on machines, in the order in which they came
+
+	besideRoom time.Duration // since when it waits though there is room; 0: it does not
 }
 
 // Submit has a user submit a job, repeatedly until it is accepted.
@@ -64,6 +66,11 @@
 	if u := w.users[ref]; u != nil && u.only >= 0 {
 		n = w.nodes[u.only]
 	}
+	w.askOf(n, kind, ref, body, patience, f)
+}
+
+// askOf is at for one controller.
+func (w *World) askOf(n *node, kind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
 	answered := false
 	get := func(r core.Reply) {
 		if !answered {
@@ -128,6 +135,9 @@
 		return // asked before the last answer came; may be older
 	}
 	u.status = s
+	if final := s.Status == wire.StatusDone || s.Status == wire.StatusWithdrawn; u.told == "" || final && s.Status != u.told {
+		defer u.lookClosely()
+	}
 	if (u.told == wire.StatusDone || u.told == wire.StatusWithdrawn) && s.Status != u.told {
 		u.w.broke("went_back", "%s: %s after %s", u.spec.Ref, s.Status, u.told)
 	}
@@ -181,6 +191,7 @@
 	recallAt time.Duration
 	urgent   bool
 	deafTo   time.Duration // until when no answer or command reaches it
+	muteTo   time.Duration // until when it reaches no controller
 	lastSent time.Duration
 	drift    float64
 }
@@ -290,6 +301,9 @@
 			next(time.Second, (k.node+1)%len(w.nodes))
 		}
 	})
+	if w.now < k.muteTo {
+		return
+	}
 	if w.cut(k.m.Name, k.m.Zone, n.label, n.zone) {
 		if w.holds(k.m.Name, k.m.Zone, n.label, n.zone) {
 			// Delivered after the cut; the answer comes far too late.
@@ -314,6 +328,7 @@
 		})
 		return
 	}
+	w.copyLater(r)
 	if w.now < w.copiesTo {
 		// The network delivers it a second time, to whom it will.
 		m := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -511,6 +526,7 @@
 				}
 			}
 			k.end(t, wire.CauseDone)
+			k.w.jobMayEnd(t.u)
 		})
 	}
 }
--- a/internal/world/rules.go
+++ b/internal/world/rules.go
@@ -28,6 +28,9 @@
 func (w *World) started(k *workerSim, t *taskSim) {
 	sp := &t.u.spec
 	w.Starts[t.ref]++
+	if t.u.withdrawn > 0 {
+		w.lateStarts++
+	}
 	name := fmt.Sprintf("%s/%d#%d", t.ref, t.task, t.attempt)
 	if at := w.attempts[name]; at != "" && at != k.m.Name {
 		w.broke("attempt_recurs", "%s on %s and then on %s", name, at, k.m.Name)
@@ -97,6 +100,7 @@
 			w.broke("ran_cancelled", "%s/%d on %s %v after (%s)", t.ref, t.task, k.m.Name, w.now-u.withdrawn, t.state)
 		}
 	})
+	w.leftWaiting()
 	for _, name := range sortedKeys(w.workers) {
 		k := w.workers[name]
 		if k.off || k.hung {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -159,7 +159,7 @@
 		}
 		w.users[args[0]].send(w.now, body)
 	case "stick": // a user asks one controller only
-		w.users[args[0]].only = int(num(1))
+		w.users[args[0]].only = w.controller(args[1])
 	case "stash": // keep a machine's report as it is now, to be delivered late
 		k := w.hostOf(args[0])
 		if args[0] == "any" {
@@ -172,12 +172,12 @@
 	case "deliver": // the kept report, to a controller
 		r := w.stashed
 		w.nodes[int(num(0))].ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
-	case "deaf": // controller, seconds for which its watch hangs
-		w.Deafen(int(num(0)), dur(1))
+	case "watch-hangs": // controller, seconds for which its watch hangs
+		w.HangWatch(w.controller(args[0]), dur(1))
 	case "crash": // controller, seconds until it is back
-		w.Crash(int(num(0)), dur(1))
+		w.Crash(w.controller(args[0]), dur(1))
 	case "freeze": // controller, seconds for which it stands still
-		w.Freeze(int(num(0)), dur(1))
+		w.Freeze(w.controller(args[0]), dur(1))
 	case "boots": // times as long, share that never comes, seconds
 		w.cloud.late, w.cloud.never, w.cloud.lateTo = num(0), num(1), w.now+dur(2)
 		w.troubled(dur(2))
@@ -194,7 +194,7 @@
 	case "outage":
 		w.Outage(dur(0))
 	case "refuse": // controller, seconds
-		w.Refuse(int(num(0)), dur(1))
+		w.Refuse(w.controller(args[0]), dur(1))
 	case "cut": // two ends, seconds, perhaps "hold"
 		a := args[0]
 		if task, ok := strings.CutPrefix(a, "host:"); ok {
@@ -203,6 +203,8 @@
 				return fmt.Errorf("no such machine")
 			}
 			a = k.m.Name
+		} else if a == "leader" || a == "other" {
+			a = w.nodes[w.controller(a)].label
 		}
 		w.Cut(a, args[1], dur(2), len(args) > 3 && args[3] == "hold")
 	case "cloud-outage":
@@ -219,7 +221,7 @@
 		w.troubled(dur(0) + dur(1))
 	case "blink": // seconds for which controllers end and are back within half a second
 		w.blink(w.now + dur(0))
-	case "hang", "take", "sick", "recall", "mute", "reset":
+	case "hang", "take", "sick", "recall", "deaf", "mute", "reset":
 		return w.machineVerb(verb, args)
 	case "many": // COUNT of the machines that are up, a machine's trouble, seconds
 		up := w.up()
@@ -244,7 +246,7 @@
 	case "expect":
 		return w.expect(args)
 	default:
-		return fmt.Errorf("unknown verb")
+		return w.meeting(verb, args)
 	}
 	return nil
 }
@@ -352,8 +354,10 @@
 			k.tickets++
 			k.lease()
 		})
-	case "mute": // its reports arrive, but neither answers nor commands reach it
+	case "deaf": // its reports arrive, but neither answers nor commands reach it
 		k.deafTo = w.now + d
+	case "mute": // it reaches no controller, while commands to its address arrive
+		k.muteTo = w.now + d
 	case "reset": // it is back at once and has lost its tasks
 		k.forget()
 		k.session++
@@ -393,7 +397,17 @@
 			w.trouble(verb, up[w.rng.IntN(len(up))], d)
 		}
 	}
-	switch w.rng.IntN(19) {
+	switch w.rng.IntN(23) {
+	case 19:
+		pick("mute")
+	case 20:
+		w.lateWrites, w.lateWritesTo = 0.3, w.now+d
+		w.troubled(d + 12*time.Second)
+	case 21:
+		w.answersLost, w.answersLostTo = 0.3, w.now+d
+		w.troubled(d)
+	case 22:
+		w.cancelNow(3, d, bulkIDs)
 	case 18:
 		w.Freeze(n, d)
 	case 0, 1:
@@ -423,7 +437,7 @@
 	case 11:
 		pick("sick")
 	case 15:
-		pick("mute")
+		pick("deaf")
 	case 16:
 		pick("reset")
 	case 17:
@@ -432,7 +446,7 @@
 	case 13:
 		w.loss, w.late, w.lossTo = 0.1, 0.3, w.now+d
 	case 14:
-		w.Deafen(n, d)
+		w.HangWatch(n, d)
 	case 12:
 		for i := range w.nodes {
 			w.Crash(i, time.Duration(200+w.rng.IntN(6000))*time.Millisecond)
@@ -471,10 +485,11 @@
 	return nil
 }
 
-// expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, muted=0,
+// expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, deaf=0,
 // owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
 // refused<=N commits, looks_per_report<=N at machines by all controllers, and
-// bytes_per_s<=N between controllers.
+// bytes_per_s<=N between controllers; late_starts<=N counts starts that workers
+// carried out after the user was told that the job is withdrawn.
 func (w *World) expectWorld(what string) (string, bool, error) {
 	holds, got := false, any(nil)
 	if k, v, ok := strings.Cut(what, "<="); ok {
@@ -484,6 +499,7 @@
 			"machines": len(w.up()), "returned": w.cloud.returns, "waiting": w.cloud.booting(), "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
 			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
 			"bytes_per_s":      w.meter.bytes / seconds,
+			"late_starts":      w.lateStarts,
 		}
 		n, known := count[k]
 		if !known {
@@ -496,14 +512,14 @@
 	} else if v, ok := strings.CutPrefix(what, "owner="); ok {
 		part, owner, _ := strings.Cut(v, ":")
 		holds, got = slices.Contains(strings.Split(owner, "|"), w.owner(part)), w.owner(part)
-	} else if what == "muted=0" {
-		muted := 0
+	} else if what == "deaf=0" {
+		deaf := 0
 		for _, k := range w.up() {
 			if k.deafTo > w.now {
-				muted++
+				deaf++
 			}
 		}
-		holds, got = muted == 0, muted
+		holds, got = deaf == 0, deaf
 	} else if what == "sick=0" {
 		sick := 0
 		for _, k := range w.up() {
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -24,7 +24,7 @@
 	leaders int           // claims of leadership so far
 	claims  int           // claims of parts so far
 	refuse  map[string]int
-	deaf    map[string]int // controllers whose watch hangs
+	hung    map[string]int // controllers whose watch hangs
 	log     []change
 	at      map[string]int // how far each controller's watch has come
 }
@@ -53,7 +53,7 @@
 }
 
 func newStore(w *World) *store {
-	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]*leaseSim{}, refuse: map[string]int{}, deaf: map[string]int{}, at: map[string]int{}}
+	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]*leaseSim{}, refuse: map[string]int{}, hung: map[string]int{}, at: map[string]int{}}
 	w.every(100*time.Millisecond, s.expire)
 	return s
 }
@@ -143,6 +143,7 @@
 	if p.key == wire.LeaderKey && p.raw != nil {
 		s.leaders++
 		s.ledFrom = s.w.now
+		s.w.deliverKept()
 	}
 	if strings.HasPrefix(p.key, wire.PartPrefix) && p.raw != nil {
 		s.claims++
@@ -215,12 +216,12 @@
 	w.after(d, func() { w.store.refuse[l]--; w.store.notify() })
 }
 
-// Deafen makes the watch of one controller hang for a while.
-func (w *World) Deafen(ix int, d time.Duration) {
+// HangWatch makes the watch of one controller hang for a while.
+func (w *World) HangWatch(ix int, d time.Duration) {
 	w.troubled(d)
 	l := w.nodes[ix].label
-	w.store.deaf[l]++
-	w.after(d, func() { w.store.deaf[l]--; w.store.notify() })
+	w.store.hung[l]++
+	w.after(d, func() { w.store.hung[l]--; w.store.notify() })
 }
 
 func decode(key string, raw []byte) any {
@@ -260,7 +261,7 @@
 		life := n.life
 		s.w.after(s.w.latency()+time.Duration(s.w.rng.IntN(40))*time.Millisecond, func() {
 			at := s.at[n.label]
-			if n.life != life || !n.up || s.refuses(n) || s.deaf[n.label] > 0 || at < 0 || at >= len(s.log) {
+			if n.life != life || !n.up || s.refuses(n) || s.hung[n.label] > 0 || at < 0 || at >= len(s.log) {
 				return
 			}
 			c := core.Changes{Rev: s.log[len(s.log)-1].rev}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -71,6 +71,8 @@
 	lossTo time.Duration  // until when loss and late hold
 	calm   time.Duration  // when the last trouble ends, as far as is known
 
+	troubles
+
 	copiesTo, copyDelay time.Duration   // until when reports come twice, and how late
 	held                map[string]bool // cuts that deliver what they held
 
@@ -175,7 +177,11 @@
 }
 
 func (w *World) latency() time.Duration {
-	return time.Millisecond + time.Duration(w.rng.IntN(6000))*time.Microsecond
+	d := time.Millisecond + time.Duration(w.rng.IntN(6000))*time.Microsecond
+	if w.now < w.slowLinksTo {
+		d = time.Duration(float64(d) * w.slowLinks)
+	}
+	return d
 }
 
 // cut says whether two ends can't reach each other now. Ends are controllers
@@ -359,14 +365,18 @@
 	return w.latency(), true, true
 }
 
+// patience is how long a controller waits for the state service or the cloud.
+const patience = 1500 * time.Millisecond
+
 // call runs a request of a controller against a service.
-func (n *node) call(run func() any, lost any, refused func() any) {
+func (n *node) call(fate func() (time.Duration, bool, bool), run func() any, lost any, refused func() any) {
 	w := n.w
 	if r := refused(); r != nil {
 		n.deliver(w.latency(), r)
 		return
 	}
-	d, runs, answered := w.fate()
+	d, runs, answered := fate()
+	answered = answered && d < patience
 	life := n.life
 	if runs {
 		w.after(d, func() {
@@ -377,7 +387,7 @@
 		})
 	}
 	if !answered {
-		n.deliver(1500*time.Millisecond, lost)
+		n.deliver(patience, lost)
 	}
 }
 
@@ -386,7 +396,7 @@
 	switch x := e.(type) {
 	case core.Commit:
 		puts := encodeWrites(x.Writes)
-		n.call(func() any {
+		n.call(w.writeFate(len(puts)), func() any {
 			out, rev := w.store.commit(x.If, puts)
 			return core.Committed{ID: x.ID, Outcome: out, Rev: rev}
 		}, core.Committed{ID: x.ID, Outcome: core.Unknown}, func() any {
@@ -396,7 +406,7 @@
 			return nil
 		})
 	case core.Read:
-		n.call(func() any {
+		n.call(w.storeFate, func() any {
 			r := core.GotJob{ID: x.ID, Outcome: core.Missing}
 			if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
 				r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
@@ -410,7 +420,7 @@
 			return nil
 		})
 	case core.Lease:
-		n.call(func() any {
+		n.call(w.storeFate, func() any {
 			out, id := w.store.lease(x.Lease, x.TTL)
 			return core.Leased{ID: x.ID, Outcome: out, Lease: id}
 		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, func() any {
@@ -423,7 +433,7 @@
 		if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
 			w.broke("stale_leader", "%s deals with the cloud", n.label)
 		}
-		n.call(func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
+		n.call(w.fate, func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
 			if w.cut(n.label, n.zone, "cloud", "") {
 				return core.Clouded{ID: x.ID, Outcome: core.Unknown}
 			}
