--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -270,6 +270,7 @@
 	leadLease   lease
 	checkAt     Time
 	checks      []check
+	provenAt    Time // when the last check that has settled was sent
 	gossipAt    Time
 	gossipLast  Time
 	ver         uint64      // of our view of our own machines
@@ -639,6 +640,7 @@
 		if c.rev > n.rev {
 			return false
 		}
+		n.provenAt = max(n.provenAt, c.sent)
 		for i, term := range c.parts {
 			if p := n.parts[i]; p.rev == term {
 				if !n.valid(p) {
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -22,8 +22,8 @@
 // mayComeTooLate tells whether a start that nobody has seen obeyed might still be
 // when its job has been withdrawn for cancel_s: it can be as long as the session
 // lasts. A machine that goes on reporting is therefore answered no more from
-// half a validity after the withdrawal on, and its lease ends the session in
-// time. For a job that is not withdrawn there is no need of it: answers repeat
+// half a validity after the withdrawal on, reckoned from before it was recorded, as
+// our copy may show it late, and its lease ends the session in time. For a job that is not withdrawn there is no need of it: answers repeat
 // the start, after which the worker knows the attempt.
 func (n *Node) mayComeTooLate(j *job, s directStart) bool {
 	return !s.obeyed && j.rec.State == wire.Withdrawn && n.now-j.closedAt > n.cfg.Validity/2
--- a/internal/core/direct_test.go
+++ b/internal/core/direct_test.go
@@ -15,6 +15,7 @@
 	now Time
 	rev uint64
 	out []any // effects that are not for the state service
+	lag bool  // the watch hangs: checks name a revision that our copy has not reached
 }
 
 func (d *drive) step(in any) {
@@ -24,6 +25,10 @@
 			d.step(Leased{ID: x.ID, Outcome: OK, Lease: max(x.Lease, 7)})
 		case Commit:
 			ch := Changes{}
+			if d.lag {
+				d.step(Committed{ID: x.ID, Outcome: OK, Rev: d.rev + 1})
+				continue
+			}
 			if len(x.Writes) > 0 {
 				d.rev++
 			}
@@ -146,6 +151,26 @@
 	}
 }
 
+// A watch that hangs for part of a validity shows the withdrawal late. The silence
+// counts from before it was recorded, else the machine's session would outlast
+// cancel_s by as much.
+func TestDirectStartOfAJobWithdrawnUnseen(t *testing.T) {
+	d, job, o := placedDirectly(t)
+	d.step(Directed{ID: o.ID, Outcome: Unknown})
+	d.lag = true
+	d.wait(11 * second)
+	d.lag = false
+	gone := clone(job)
+	gone.State = wire.Withdrawn
+	d.put(gone)
+	d.wait(4 * second)
+	d.report(9, o.Orders.Token)
+	d.wait(4 * second)
+	if at := slices.IndexFunc(d.out, func(e any) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != 503 {
+		t.Errorf("answered with %+v", d.out)
+	}
+}
+
 // An attempt that was started so is not cleared: the worker would obey a late
 // copy of the start.
 func TestDirectStartIsNotCleared(t *testing.T) {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -33,7 +33,7 @@
 	errorsSeen   int
 	suspect      bool // failed wherever it ran: rather the job's fault than the machines'
 	changed      Time // when our copy last changed
-	closedAt     Time // when our copy first showed it done or withdrawn
+	closedAt     Time // it was recorded as done or withdrawn at this time or later
 	grantedAt    Time // when we, as the leader, last granted anything of it
 	within       bool // inside its team's guarantee
 }
@@ -78,7 +78,12 @@
 		return
 	}
 	if rec.State != wire.Live && j.closedAt == 0 {
+		// Our copy may have lagged behind. What it knew at the last proof that
+		// has settled did not hold this change, so it was made after that was sent.
 		j.closedAt = n.now
+		if n.provenAt > 0 {
+			j.closedAt = n.provenAt
+		}
 	}
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
--- a/internal/world/scenario_test.go
+++ b/internal/world/scenario_test.go
@@ -1,7 +1,9 @@
 package world
 
 import (
+	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -33,3 +35,35 @@
 		})
 	}
 }
+
+// TestEachMeetingHasItsScenario: the table of meetings of troubles in the design
+// names scenarios that are there, and each of the operators' 25 meetings, and bad
+// input, has one.
+func TestEachMeetingHasItsScenario(t *testing.T) {
+	text, err := os.ReadFile("../../docs/design.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, found := strings.Cut(string(text), "| meeting | scenarios |\n| --- | --- |\n")
+	if !found {
+		t.Fatal("the design has no table of meetings")
+	}
+	table, _, _ = strings.Cut(table, "\n\n")
+	name := regexp.MustCompile(`^[a-z-]+$`)
+	rows := strings.Split(strings.TrimSpace(table), "\n")
+	if len(rows) != 26 {
+		t.Errorf("%d meetings are listed, not 26", len(rows))
+	}
+	for _, row := range rows {
+		cells := strings.Split(strings.Trim(row, "| "), " | ")
+		if len(cells) != 2 {
+			t.Errorf("bad row %q", row)
+			continue
+		}
+		for _, s := range strings.Split(cells[1], ", ") {
+			if _, err := os.Stat("../../testdata/scenarios/" + s + ".txt"); !name.MatchString(s) || err != nil {
+				t.Errorf("%s: no scenario %q", cells[0], s)
+			}
+		}
+	}
+}
