--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -63,7 +63,10 @@
 	if rev <= n.leader.rev {
 		return
 	}
-	led := n.leads()
+	// Also one who has resigned: what it last decided and never heard of would
+	// else count as about to be written for ever, and its own owner would leave
+	// those records alone.
+	led := n.claimed()
 	n.leader.rec, n.leader.rev, n.leader.since = rec, rev, n.now
 	if n.leads() {
 		n.leader.reset()
@@ -74,9 +77,12 @@
 	}
 }
 
-func (n *Node) leads() bool {
+func (n *Node) leads() bool { return n.claimed() && n.leader.rev != n.resigned }
+
+// claimed tells whether our copy shows a claim of ours, resigned or not.
+func (n *Node) claimed() bool {
 	r := n.leader.rec
-	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life && n.leader.rev != n.resigned
+	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life
 }
 
 // claimLeader takes the leadership when nobody has it, or an earlier life of
