--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -555,6 +555,13 @@
 	for _, e := range c.Events {
 		n.change(e)
 	}
+	if c.Reset {
+		// What happened before is not known: any part may have been taken over
+		// from an owner that lives.
+		for _, p := range n.parts {
+			p.until = n.now + n.cfg.Validity
+		}
+	}
 	if !c.Reset {
 		n.sawPuts(len(c.Events))
 	}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -25,6 +25,7 @@
 	base       Time    // our validity counts from here
 	validSince Time    // since when we could answer without a break
 	bound      Time    // no earlier owner can have answered a report sent after this
+	until      Time    // no owner before the present one answers after this
 }
 
 // makeParts splits the machines of each zone among its controllers.
@@ -81,6 +82,12 @@
 	}
 	was := p.rec
 	p.rec, p.rev, p.since, p.changed = rec, rev, n.now, n.now
+	if was != nil && rec != nil && was.Owner != rec.Owner {
+		// Taken over while it lived: it may answer until its validity has run out,
+		// whoever takes the part next, and when. It once was forgotten by an owner
+		// that took a part, ended, and came back.
+		p.until = n.now + n.cfg.Validity
+	}
 	p.proven, p.base = false, 0
 	// What machines did under the last owner says nothing about this one.
 	// Kept, it made two peers take the part from each other in turns.
@@ -88,12 +95,9 @@
 	n.voidResults(p)
 	if rec != nil && rec.Owner == n.cfg.Self && rec.Life == n.cfg.Life {
 		// An owner whose key went with its lease had stopped before, and an
-		// earlier life of ours is dead. One that we took over by a new claim
-		// may still answer until its validity has run out.
-		p.bound = n.now
-		if was != nil && was.Owner != n.cfg.Self {
-			p.bound += n.cfg.Validity
-		}
+		// earlier life of ours is dead; but who was taken over lately may still
+		// answer.
+		p.bound = max(n.now, p.until)
 		n.checkAt = 0
 		n.log(1, "part claimed", "part", p.name, "term", rev)
 	} else if was != nil && was.Owner == n.cfg.Self && was.Life == n.cfg.Life {
--- a/internal/core/part_test.go
+++ b/internal/core/part_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"micaport/internal/wire"
 )
 
 // Machines are named in order of their creation; a weak hash put runs of
@@ -43,3 +45,43 @@
 		t.Errorf("got %v", set)
 	}
 }
+
+// Who takes a part over counts in the validity of every owner before it that may
+// live: not only of the last, whose claim may have gone with its lease or be that of
+// an earlier life of its own; and what a process that has just started can't know
+// counts as a takeover of a moment ago.
+func TestBoundCountsEveryOwnerBefore(t *testing.T) {
+	const validity = 20 * second
+	claim := func(owner, life string) *wire.Part { return &wire.Part{Owner: owner, Life: life} }
+	for _, c := range []struct {
+		name  string
+		steps []*wire.Part // a second apart, nil for a claim that goes with its lease
+		bound Time         // after the first step
+	}{
+		{"nobody had it", nil, 0},
+		{"its owner stopped", []*wire.Part{claim("n1", "a"), nil}, 2 * second},
+		{"an earlier life of ours", []*wire.Part{claim("n0", "old")}, 1 * second},
+		{"taken from an owner that lives", []*wire.Part{claim("n1", "a")}, 1*second + validity},
+		{"an earlier life of ours took it", []*wire.Part{claim("n1", "a"), claim("n0", "old")}, 1*second + validity},
+		{"a peer took it and its claim went", []*wire.Part{claim("n1", "a"), claim("n2", "b"), nil}, 1*second + validity},
+	} {
+		n := New(Config{Self: "n0", Life: "x", Zone: "a", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, Validity: validity})
+		p := n.parts[0]
+		n.loaded = true
+		rev := uint64(1)
+		for _, rec := range append(c.steps, claim("n0", "x")) {
+			n.putPart(p, rec, rev)
+			rev++
+			n.now += second
+		}
+		if p.bound != c.bound {
+			t.Errorf("%s: bound %v, not %v", c.name, p.bound, c.bound)
+		}
+	}
+	n := New(Config{Self: "n0", Life: "x", Zone: "a", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, Validity: validity, WallMS: func() int64 { return 0 }})
+	n.Step(second, Changes{Reset: true, Rev: 5})
+	n.putPart(n.parts[0], claim("n0", "x"), 6)
+	if b := n.parts[0].bound; b != second+validity {
+		t.Errorf("just started: bound %v", b)
+	}
+}
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -58,19 +58,22 @@
 	}
 }
 
-// controller finds one by its number, as the one that leads now ("leader") or as
-// the next after that ("other").
+// controller finds one by its number, as the one that leads now ("leader"), as the
+// next after that ("other") or as the one whose claim of a part stands ("owner:PART").
 func (w *World) controller(arg string) int {
 	leader := 0
 	if k := w.store.keys[wire.LeaderKey]; k != nil {
 		label := decode(wire.LeaderKey, k.raw).(*wire.Leader).Node
 		leader = slices.IndexFunc(w.nodes, func(n *node) bool { return n.label == label })
 	}
-	switch arg {
-	case "leader":
+	switch {
+	case arg == "leader":
 		return leader
-	case "other":
+	case arg == "other":
 		return (leader + 1) % len(w.nodes)
+	case strings.HasPrefix(arg, "owner:"):
+		label := w.owner(strings.TrimPrefix(arg, "owner:"))
+		return max(0, slices.IndexFunc(w.nodes, func(n *node) bool { return n.label == label }))
 	}
 	ix, _ := strconv.Atoi(arg)
 	return ix
