--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -65,6 +65,13 @@
 			WriteRPS float64 `json:"write_rps"`
 			ValueKB  float64 `json:"value_kb"`
 			TxnOps   int     `json:"txn_ops"`
+			// Next are the limits that will hold from some moment on.
+			Next struct {
+				RPS      *float64 `json:"rps"`
+				WriteRPS *float64 `json:"write_rps"`
+				ValueKB  *float64 `json:"value_kb"`
+				TxnOps   *int     `json:"txn_ops"`
+			} `json:"next"`
 		} `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps"`
@@ -196,6 +203,39 @@
 	leastMemory = 24
 )
 
+// A grant of a gang across parts changes two keys; a record needs a few hundred bytes
+// before it lists any task.
+const (
+	leastOps   = 2
+	leastValue = 1024
+)
+
+// Limits of the state service.
+type Limits struct {
+	RPS, WriteRPS      float64
+	ValueBytes, TxnOps int
+}
+
+// Limits that hold at all times, before and after those of state.next come into
+// force: the smaller of both.
+func (s *Settings) Limits() Limits {
+	d, next := &s.Deployment.State, &s.Deployment.State.Next
+	l := Limits{RPS: d.RPS, WriteRPS: d.WriteRPS, ValueBytes: int(d.ValueKB * 1024), TxnOps: d.TxnOps}
+	if next.RPS != nil {
+		l.RPS = min(l.RPS, *next.RPS)
+	}
+	if next.WriteRPS != nil {
+		l.WriteRPS = min(l.WriteRPS, *next.WriteRPS)
+	}
+	if next.ValueKB != nil {
+		l.ValueBytes = min(l.ValueBytes, int(*next.ValueKB*1024))
+	}
+	if next.TxnOps != nil {
+		l.TxnOps = min(l.TxnOps, *next.TxnOps)
+	}
+	return l
+}
+
 // Seconds turns a decimal number of seconds into a duration.
 func Seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
@@ -274,6 +314,23 @@
 	positive("state.write_rps", d.State.WriteRPS)
 	positive("state.value_kb", d.State.ValueKB)
 	positive("state.txn_ops", float64(d.State.TxnOps))
+	next := func(name string, v *float64) {
+		if v != nil {
+			positive("state.next."+name, *v)
+		}
+	}
+	next("rps", d.State.Next.RPS)
+	next("write_rps", d.State.Next.WriteRPS)
+	next("value_kb", d.State.Next.ValueKB)
+	if ops := d.State.Next.TxnOps; ops != nil {
+		positive("state.next.txn_ops", float64(*ops))
+	}
+	if l := s.Limits(); l.TxnOps > 0 && l.TxnOps < leastOps {
+		bad("state: transactions of %d changes are too small, at least %d are needed", l.TxnOps, leastOps)
+	}
+	if l := s.Limits(); l.ValueBytes > 0 && l.ValueBytes < leastValue {
+		bad("state: values of %d bytes are too small, at least %d are needed", l.ValueBytes, leastValue)
+	}
 	positive("cloud.rps", d.Cloud.RPS)
 	if d.Limits.Sockets != 0 && s.PublicSockets() < leastPublic {
 		bad("limits.fd_limit: %d sockets leave %d for users and workers, at least %d are needed", d.Limits.Sockets, max(0, s.PublicSockets()), leastPublic)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,3 +96,27 @@
 		}
 	}
 }
+
+// The limits that hold at all times are the smaller of those now and those to come,
+// each of which may be left out; faults in them are named.
+func TestNextLimits(t *testing.T) {
+	load := func(next string) (*Settings, error) {
+		return Load(write(t, "s.json", strings.Replace(sound, `"txn_ops":12}`, `"txn_ops":12,"next":`+next+`}`, 1)))
+	}
+	for next, want := range map[string]Limits{
+		`{}`:                             {250, 20, 8192, 12},
+		`{"value_kb":2.0}`:               {250, 20, 2048, 12},
+		`{"write_rps":15.0,"txn_ops":4}`: {250, 15, 8192, 4},
+		`{"rps":300,"write_rps":30,"value_kb":16,"txn_ops":16}`: {250, 20, 8192, 12},
+	} {
+		s, err := load(next)
+		if err != nil || s.Limits() != want {
+			t.Errorf("%s: got %+v, %v", next, s.Limits(), err)
+		}
+	}
+	for _, bad := range []string{`{"value_kb":0}`, `{"txn_ops":1}`, `{"write_rps":-1}`, `{"value_kb":0.5}`} {
+		if _, err := load(bad); err == nil || !strings.Contains(err.Error(), "state") {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -34,6 +35,7 @@
 	fault    error
 	deadline Time
 	handed   bool // given to a peer
+	needs    *needed
 }
 
 // Users wait 5 s for a submission and 2 s for a poll; answers come before.
@@ -69,7 +71,7 @@
 	}
 	// A final state never changes, so our copy may answer for it.
 	ix := n.refs.Find(op.Ref)
-	if ix >= 0 && n.jobs[ix].rec != nil && n.jobs[ix].rec.State != wire.Live {
+	if ix >= 0 && n.jobs[ix].rec != nil && n.jobs[ix].state() != wire.Live {
 		n.answer(op, 200, n.reply(op, n.jobs[ix].rec))
 		return
 	}
@@ -157,6 +159,10 @@
 
 // reply is the body of a 200. Withdrawals and submissions leave out counts.
 func (n *Node) reply(op *userOp, r *wire.Job) any {
+	// What our copy shows of the jobs above is final.
+	if j := n.jobNamed(op.Ref); r.State == wire.Live && j != nil && j.rec != nil && j.state() == wire.Withdrawn {
+		return wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn}
+	}
 	return status(op.Ref, r)
 }
 
@@ -233,16 +239,41 @@
 		n.lookUp(op)
 		return
 	}
+	if len(s.WaitsOn) > 0 && !n.upgraded {
+		n.later(op, "not before all controllers have been upgraded")
+		return
+	}
+	if len(s.WaitsOn) > 0 && !n.findNeeds(op) {
+		return // it comes back here
+	}
+	withdrawn := false
+	if len(s.WaitsOn) > 0 {
+		if withdrawn, op.fault = n.settleNeeds(op); op.fault != nil {
+			n.lookUp(op)
+			return
+		}
+	}
 	// Types that nobody offers can't be had; leaving them out bounds the size
 	// of the record whatever the user sends.
 	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.flavor(n.rigs.Find(name)) == nil })
 	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
+	if n.baseOf(rec)+2*(n.aRun()+wire.ListCost+rangeCost) > n.cfg.ValueBytes {
+		op.fault = errors.New("too large to be recorded: its names or the jobs that it waits on")
+		n.lookUp(op)
+		return
+	}
+	status := wire.StatusPending
+	if withdrawn {
+		// Withdrawn with what it names, before it could start.
+		rec.State, status = wire.Withdrawn, wire.StatusWithdrawn
+		tidy(rec)
+	}
 	key := wire.JobKey(s.Ref)
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
 		switch c.Outcome {
 		case OK:
 			n.log(0, "accepted", "job", s.Ref, "class", s.Class, "team", s.Team, "frames", s.Frames, "image", s.Image, "gb", s.ImageGB, "expected_s", s.ExpectedS)
-			n.answer(op, 201, wire.JobStatus{Ref: s.Ref, Status: wire.StatusPending})
+			n.answer(op, 201, wire.JobStatus{Ref: s.Ref, Status: status})
 		case Conflict:
 			n.lookUp(op)
 		default:
@@ -264,6 +295,10 @@
 				n.withdraw(op, g)
 				return
 			}
+			if g.Job.State == wire.Live && g.Job.Spec != nil && len(g.Job.Spec.WaitsOn) > 0 {
+				n.answerFromAbove(op, g.Job)
+				return
+			}
 			n.answer(op, 200, n.reply(op, g.Job))
 		case Missing:
 			switch {
@@ -291,8 +326,12 @@
 	rec := clone(g.Job)
 	rec.State = wire.Withdrawn
 	tidy(rec)
-	key := wire.JobKey(op.Ref)
-	n.commit(User, []Cond{{key, g.Rev}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
+	// What its further keys hold is not known here and stays.
+	for i := range rec.Active {
+		rec.Active[i].In = 1
+	}
+	writes := n.spread(op.Ref, rec.Active, rec.More, rec.More, rec)
+	n.commit(User, []Cond{{wire.JobKey(op.Ref), g.Rev}}, writes, func(c Committed) {
 		switch c.Outcome {
 		case OK:
 			n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn, Done: countDone(rec.DoneSet)})
--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -44,10 +44,10 @@
 		n.log(0, "wrote", "role", b.name, "puts", len(b.writes), "outcome", int(c.Outcome))
 		switch c.Outcome {
 		case OK:
-			if b.onOK != nil {
+			if b.onOK != nil && len(b.writes) > 0 {
 				b.onOK()
 			}
-			b.until = c.Rev
+			b.until = max(c.Rev, 1)
 		case Conflict:
 			n.log(0, "commit lost a race", "role", b.name, "rev", c.Rev)
 			if b.without(c.Failed) {
@@ -55,6 +55,16 @@
 				return
 			}
 			b.until = max(c.Rev, 1)
+		case TooLarge:
+			// Never sent again as it is. Whether an earlier sending, before the
+			// limits fell, was carried out is told by its conditions alone.
+			if b.unsure && len(b.writes) > 0 {
+				b.writes, b.extra = nil, nil
+				b.send(n)
+				return
+			}
+			b.active = false
+			b.retryAt = n.now + time.Second
 		case Refused, BadLease:
 			if !b.unsure {
 				b.active = false
@@ -100,10 +110,21 @@
 		}
 	}
 	b.conds = slices.DeleteFunc(b.conds, func(c Cond) bool { return slices.Contains(failed, c.Key) })
-	b.writes = slices.DeleteFunc(b.writes, func(w Write) bool { return slices.Contains(failed, w.Key) })
+	// With a record go its further keys: written without it, under no condition any
+	// more, they would lose tasks that are running.
+	b.writes = slices.DeleteFunc(b.writes, func(w Write) bool { return slices.Contains(failed, recordOf(w.Key)) })
 	return len(b.writes) > 0
 }
 
+// recordOf is the key of the record that a key belongs to.
+func recordOf(key string) string {
+	if !strings.HasPrefix(key, wire.MorePrefix) {
+		return key
+	}
+	ref, _ := wire.SplitMore(key)
+	return wire.JobKey(ref)
+}
+
 // holds tells whether the batch is about to change a record: what another role
 // of ours decides on the copy that we have would lose against it.
 func (b *batch) holds(j *job) bool {
--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -10,8 +10,13 @@
 
 // tasksLimit bounds the active tasks of a job.
 func (n *Node) tasksLimit(j *job) int {
-	if j.bulk {
+	switch {
+	case j.bulk:
 		return max(n.activeLimit(), n.cfg.BulkTasks)
+	case j.rec.Spec != nil && j.rec.Spec.Shape == wire.ShapeGang:
+		return j.rec.Frames // all or none
+	case j.rec.Spec != nil && j.rec.Spec.Shape == wire.ShapeDaemon:
+		return max(n.activeLimit(), n.toPlan(j)*7/8/n.aRun())
 	}
 	return n.activeLimit()
 }
@@ -25,17 +30,15 @@
 	return active.Cost() + rangeCost*len(done)
 }
 
-// forLists is the part of a value that the lists of a bulk job may take.
-func (n *Node) forLists(j *job) int { return max(100, n.cfg.ValueBytes-j.specBytes) }
+// forLists is what the lists of a bulk job may take, in all its keys. In each some
+// room is left that no run fits.
+func (n *Node) forLists(j *job) int {
+	return max(100, n.valueBytes()-j.base+n.moreKeys()*(n.cfg.ValueBytes-moreFrame-2*n.aRun()))
+}
 
-// specCost bounds the rest of a bulk job's record, in the form in which values are
-// measured: names of fields take more there than in ours.
-func specCost(sp *wire.Spec) int {
-	b, err := wire.Encode(sp)
-	if err != nil {
-		return 2000
-	}
-	return 3*len(b)/2 + 600
+// toPlan is that for what is yet to be granted, by the limits that hold at all times.
+func (n *Node) toPlan(j *job) int {
+	return max(100, n.forLists(j)-n.valueBytes()+n.cfg.ValueBytes)
 }
 
 // aRun is what one more run on some machine takes.
@@ -158,7 +161,7 @@
 			}
 		}
 	}
-	return (n.forLists(j)*7/8 - cost) / each
+	return (n.toPlan(j)*7/8 - cost) / each
 }
 
 // count is how many tasks of a kind find room on the machine.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"micaport/internal/wire"
@@ -39,12 +40,15 @@
 	Report, Lease, GangWait Time
 	Validity                Time // how long an owner may act on a renewal
 	LeaderTTL               Time
-	TxnOps, ValueBytes      int
+	TxnOps, ValueBytes      int // that hold at all times, also once the service's next limits do
+	ValueNow                int // that holds until then; 0: no other
+	Format                  int // that we read and write; 0: the newest
 	BatchPuts               int // records that one of our transactions changes at most
 	BulkTasks               int // active tasks of an array with more tasks than a record can hold one by one
 	ListLag                 Time
 	CloudRPS                float64
 	StateRPS, WriteRPS      float64 // 0: no limit
+	NextWriteRPS            float64 // that may hold from some moment on; 0: no other
 
 	Waits       []Objective // classes that are to start soon after they come
 	IdleReturn  Time
@@ -67,7 +71,8 @@
 	Refused
 	Unknown
 	BadLease
-	Full // the cloud has no capacity
+	Full     // the cloud has no capacity
+	TooLarge // a value or a transaction beyond the limits: not carried out, ever
 )
 
 // Cond demands that a key is at a revision; 0 means absent.
@@ -183,6 +188,7 @@
 		Outcome Outcome
 		Rev     uint64
 		Failed  []string // after Conflict: the keys that were not as demanded
+		Limited bool     // the service said that there were too many puts
 	}
 	// Directed is the result of Direct: OK when the worker has carried the
 	// orders out, Conflict when it never will, as its session or token is
@@ -247,6 +253,12 @@
 	finished map[[2]int]*wire.Job
 	live     []int // jobs that are unfinished or still have tasks on machines
 	gangs    map[string]*gang
+	more     map[string]map[int]wire.Actives // active tasks in further keys, by job
+	doomed   []int                           // jobs below a withdrawn one, not yet recorded as such
+	reads    map[string]int                  // the format that each controller reads
+	upgraded bool                            // all read format 2
+	formatAt Time
+	shrunk   bool // no record is larger than the limits to come
 	types    []wire.Flavor
 	rigsAt   Time
 	rigRev   uint64
@@ -339,10 +351,13 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg:     cfg,
-		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, peers: map[string]*peer{},
+		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, more: map[string]map[int]wire.Actives{}, reads: map[string]int{}, peers: map[string]*peer{},
 		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, kept: map[int]int{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
 	}
+	if n.cfg.Format == 0 {
+		n.cfg.Format = wire.Format
+	}
 	n.partLease.ttl = cfg.Validity
 	n.leadLease.ttl = cfg.LeaderTTL
 	for _, z := range slices.Sorted(slices.Values(cfg.Zones)) {
@@ -406,6 +421,7 @@
 	if !n.loaded {
 		return
 	}
+	n.tellFormat()
 	n.claimParts()
 	n.claimLeader()
 	n.runChecks()
@@ -451,6 +467,12 @@
 	id := n.id(func(in any) {
 		c := in.(Committed)
 		n.storeHeard(c.Outcome)
+		if c.Limited && len(writes) > 0 {
+			n.puts.limited(n.now)
+		}
+		if c.Outcome == TooLarge {
+			n.log(2, "a transaction is beyond the state service's limits", "writes", len(writes), "conditions", len(conds))
+		}
 		f(c)
 	})
 	if class == Bulk {
@@ -462,7 +484,7 @@
 // storeHeard notes whether the state service serves us.
 func (n *Node) storeHeard(o Outcome) {
 	switch o {
-	case OK, Conflict, Missing, BadLease:
+	case OK, Conflict, Missing, BadLease, TooLarge:
 		if !n.storeOK {
 			// In an outage owners run out of validity and their workers go
 			// round in vain. That says nothing about the owners afterwards.
@@ -552,9 +574,10 @@
 			n.putLeader(nil, c.Rev)
 		}
 	}
-	for _, e := range c.Events {
-		n.change(e)
+	if c.Reset {
+		clear(n.more) // the listing holds all there are
 	}
+	n.changeAll(c.Events)
 	if c.Reset {
 		// What happened before is not known: any part may have been taken over
 		// from an owner that lives.
@@ -574,8 +597,35 @@
 	n.leader.batch.settle(n)
 }
 
+// changeAll takes events in. Further active tasks change together with their job's
+// record; what several transactions did to one is taken in as it stands in the end.
+func (n *Node) changeAll(events []Event) {
+	var last map[string]int
+	for i, e := range events {
+		if !strings.HasPrefix(e.Key, wire.MorePrefix) {
+			continue
+		}
+		m, _ := e.Value.(*wire.More)
+		n.takeMore(e.Key, m)
+		if last == nil {
+			last = map[string]int{}
+			for k, e := range events {
+				last[e.Key] = k
+			}
+		}
+		last[e.Key] = i
+	}
+	for i, e := range events {
+		if last == nil || last[e.Key] == i || !strings.HasPrefix(e.Key, wire.JobPrefix) {
+			n.change(e)
+		}
+	}
+}
+
 func (n *Node) change(e Event) {
 	switch v := e.Value.(type) {
+	case *wire.Reads:
+		n.takeFormat(e.Key[len(wire.FormatPrefix):], v)
 	case *wire.Job:
 		n.putJob(e.Key[len(wire.JobPrefix):], v, e.Rev)
 	case *wire.Part:
@@ -630,13 +680,22 @@
 	if len(conds) == 0 {
 		return
 	}
-	sent := n.now
-	n.commit(Vital, conds, nil, func(c Committed) {
-		if c.Outcome == OK && sent >= n.wokeAt {
-			n.checks = append(n.checks, check{sent: sent, rev: c.Rev, parts: held})
-			n.settleChecks()
+	// A transaction takes four conditions for each change that it could make.
+	sent, most := n.now, 4*n.cfg.TxnOps
+	for _, some := range slices.Collect(slices.Chunk(conds, max(1, most))) {
+		parts := map[int]uint64{}
+		for i, p := range n.parts {
+			if slices.ContainsFunc(some, func(c Cond) bool { return c.Key == wire.PartKey(p.name) }) {
+				parts[i] = held[i]
+			}
 		}
-	})
+		n.commit(Vital, some, nil, func(c Committed) {
+			if c.Outcome == OK && sent >= n.wokeAt {
+				n.checks = append(n.checks, check{sent: sent, rev: c.Rev, parts: parts})
+				n.settleChecks()
+			}
+		})
+	}
 }
 
 // settleChecks lets proofs count whose revision our copy has reached. Without
--- /dev/null
+++ b/internal/core/format.go
@@ -0,0 +1,54 @@
+package core
+
+import "micaport/internal/wire"
+
+// Two versions of the service work on each other's data while one replaces the
+// other. What the earlier one does not know is written only when every controller
+// of the deployment has left a record that it reads it; as those records stay, that
+// never goes back. See "Two versions side by side" in docs/design.md.
+
+// formatPause is how long a controller waits before it leaves its record by itself:
+// it goes with the claim of a part, if there is one to be claimed.
+const formatPause = 2 * second
+
+// formatWrites is the record of what we read, until our copy shows it.
+func (n *Node) formatWrites() []Write {
+	if n.cfg.Format < 2 || n.reads[n.cfg.Self] >= n.cfg.Format {
+		return nil
+	}
+	return []Write{{Key: wire.FormatPrefix + n.cfg.Self, Value: &wire.Reads{Format: n.cfg.Format}}}
+}
+
+// tellFormat leaves that record.
+func (n *Node) tellFormat() {
+	if n.formatAt == 0 {
+		n.formatAt = n.now + formatPause
+	}
+	if n.now < n.formatAt || !n.storeOK {
+		return
+	}
+	if w := n.formatWrites(); w != nil {
+		n.formatAt = n.now + formatPause
+		n.commit(User, nil, w, func(Committed) {})
+	}
+}
+
+// takeFormat learns what a controller reads.
+func (n *Node) takeFormat(label string, r *wire.Reads) {
+	n.reads[label] = max(n.reads[label], r.Format)
+	if n.upgraded || n.cfg.Format < 2 {
+		return
+	}
+	for _, m := range n.cfg.Members {
+		if n.reads[m.Label] < 2 {
+			return
+		}
+	}
+	n.upgraded = true
+	n.log(1, "all controllers read format 2")
+	for _, jx := range n.live {
+		if j := n.jobs[jx]; j.rec.Spec != nil {
+			n.measure(j)
+		}
+	}
+}
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -154,6 +154,16 @@
 	// 40 bytes are ample for a machine, with six images; names and the rest
 	// stay well within a quarter of the value.
 	short := n.withChanges(m, base, max(1, n.cfg.ValueBytes*5/8/40))
+	for k := len(short.Hosts); k > 1 && !n.fits(short); {
+		// Where values are small the rest of the message takes most of one.
+		k /= 2
+		m.Returned, m.Retire, m.Strays = m.Returned[:len(m.Returned)/2], m.Retire[:len(m.Retire)/2], m.Strays[:len(m.Strays)/2]
+		m.Kept, m.Holds = m.Kept[:min(len(m.Kept), 8*k)], m.Holds[:min(len(m.Holds), 8*k)]
+		short = n.withChanges(m, base, k)
+	}
+	if !n.fits(short) {
+		return
+	}
 	if short.Ver < n.ver {
 		// More is to be told than fits. With hundreds of machines up at once
 		// the leader would plan without most of them for a while.
@@ -162,6 +172,12 @@
 	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
 }
 
+// fits tells whether a value is within the limits.
+func (n *Node) fits(v any) bool {
+	size, err := wire.JSONSize(v)
+	return err == nil && size <= n.cfg.ValueBytes
+}
+
 // gossipFromStore takes a message left with the state service, unless the
 // peer can be heard directly or the message is an old one.
 func (n *Node) gossipFromStore(m *wire.Gossip) {
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -140,6 +140,9 @@
 	n.takeTypes(f)
 	n.rigsAt = n.now
 	if changed || n.rigRev == 0 {
+		for len(f) > 1 && !n.fits(&wire.Types{Rigs: f}) {
+			f = f[:len(f)-1] // better some than none
+		}
 		n.commit(Bulk, []Cond{{wire.LeaderKey, n.leader.rev}},
 			[]Write{{Key: wire.TypesKey, Value: &wire.Types{Rigs: f}}}, func(Committed) {})
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -20,7 +20,7 @@
 	rigs      set // the types allowed, unless any is
 	any       bool
 	spot      bool
-	specBytes int   // of a bulk job's record, without its lists
+	base      int   // bytes of its record, without its lists
 	bulk      bool  // more tasks than can be active one by one, see bulk.go
 	pend      []int // tasks neither done nor active; good while pendKnown
 	pendKnown bool
@@ -31,11 +31,12 @@
 	preemptAt    Time // not before this is anything stopped for it again
 	notBefore    Time
 	errorsSeen   int
-	suspect      bool // failed wherever it ran: rather the job's fault than the machines'
-	changed      Time // when our copy last changed
-	closedAt     Time // it was recorded as done or withdrawn at this time or later
-	grantedAt    Time // when we, as the leader, last granted anything of it
-	within       bool // inside its team's guarantee
+	suspect      bool   // failed wherever it ran: rather the job's fault than the machines'
+	changed      Time   // when our copy last changed
+	closedAt     Time   // it was recorded as done or withdrawn at this time or later
+	grantedAt    Time   // when we, as the leader, last granted anything of it
+	within       bool   // inside its team's guarantee
+	chain        *chain // what it waits on and what waits on it; nil: nothing
 }
 
 func priority(urgency string) int {
@@ -52,14 +53,13 @@
 
 // putJob takes a record, or its absence, into our copy.
 func (n *Node) putJob(ref string, rec *wire.Job, rev uint64) {
-	ix := n.refs.Of(ref)
-	if ix == len(n.jobs) {
-		n.jobs = append(n.jobs, &job{ix: ix, ref: ref, image: -1, team: -1, zone: -1, gangZone: -1})
-	}
-	j := n.jobs[ix]
+	j := n.jobAt(ref)
 	if rev <= j.rev {
 		return
 	}
+	if rec != nil {
+		n.whole(ref, rec)
+	}
 	if n.loaded && rec != nil && (j.rec == nil || j.rec.State == wire.Live && rec.State == wire.Withdrawn) {
 		n.puts.seenUsers++
 	}
@@ -87,10 +87,11 @@
 	}
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
-		if n.loaded {
+		if n.loaded && len(rec.Spec.WaitsOn) == 0 {
 			n.noteArrival(j)
 		}
 	}
+	n.over(j)
 	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
 		// A job that fails everywhere waits longer each time.
 		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
@@ -125,18 +126,17 @@
 // describe maps the names in a specification to indices.
 func (n *Node) describe(j *job, sp *wire.Spec) {
 	j.image = n.images.Of(sp.Image)
-	j.prio = priority(sp.Urgency)
+	j.prio = max(j.prio, priority(sp.Urgency))
 	j.team = n.teams.Find(sp.Team)
 	if sp.Zone != "" {
 		j.zone = n.zones.Of(sp.Zone)
 	}
 	j.spot, j.any = sp.Spot, len(sp.Rigs) == 0 && !sp.RigsForbidAll
-	if j.bulk = sp.Shape == wire.ShapeArray && sp.Frames > n.activeLimit(); j.bulk {
-		j.specBytes = specCost(sp)
-	}
+	n.measure(j)
 	for _, name := range sp.Rigs {
 		j.rigs.add(n.rigs.Of(name))
 	}
+	n.tie(j, sp)
 }
 
 // allows tells whether a job's tasks may run on a kind of machine at a place.
@@ -233,7 +233,7 @@
 	if r.State == wire.Live && countDone(r.DoneSet) == r.Frames {
 		r.State = wire.Done
 	}
-	if r.State != wire.Live && len(r.Active) == 0 {
+	if r.State != wire.Live && len(r.Active) == 0 && r.More == 0 {
 		r.Spec, r.Avoid, r.Errors = nil, nil, 0
 		if r.State == wire.Done {
 			r.DoneSet = nil
@@ -300,5 +300,5 @@
 // with room for the rest of the record. Larger arrays are told apart in bulk.go.
 func (n *Node) activeLimit() int {
 	const perTask = 60 // generous, in JSON form, with its share of the done set
-	return max(1, (n.cfg.ValueBytes-2000)/perTask)
+	return max(1, (n.cfg.ValueBytes*(1+n.moreKeys())-2000)/perTask)
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -201,10 +201,12 @@
 	l.dirty, l.placing = false, nil
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
+	n.shrinkRecords(w)
 	n.leadGangs(w)
 	n.revokeOrphans(w)
 	n.ownInfo()
 	left := n.plan(w)
+	n.closeDoomed(w)
 	n.puts.leader = len(w.order) + left
 	n.log(0, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -153,8 +153,8 @@
 			rev = 0
 		}
 		key := wire.PartKey(p.name)
-		n.commit(Vital, []Cond{{key, rev}},
-			[]Write{{Key: key, Value: &wire.Part{Owner: n.cfg.Self, Life: n.cfg.Life}, Lease: n.partLease.id}},
+		claim := []Write{{Key: key, Value: &wire.Part{Owner: n.cfg.Self, Life: n.cfg.Life}, Lease: n.partLease.id}}
+		n.commit(Vital, []Cond{{key, rev}}, append(claim, n.formatWrites()...),
 			func(c Committed) {
 				if c.Outcome == BadLease {
 					n.partLease.id, n.partLease.next = 0, n.now
--- a/internal/core/purse.go
+++ b/internal/core/purse.go
@@ -18,19 +18,39 @@
 
 	seenUsers int     // submissions and withdrawals among those
 	users     float64 // of these a second, over the last while
-	need      int     // records that wait to be written by us
-	leader    int     // of these, grants that the last pass of the leader found no put for
+	lowUntil  Time    // until when the rate to come is kept to
+	lowFor    Time
+	need      int // records that wait to be written by us
+	leader    int // of these, grants that the last pass of the leader found no put for
+}
+
+// limited notes that the service refused puts as too many: the rate that it is to
+// allow from some moment on may hold already. It is kept to for longer each time.
+func (p *purse) limited(now Time) {
+	if now < p.lowUntil {
+		return
+	}
+	p.lowFor = max(20*second, 2*p.lowFor)
+	p.lowUntil = now + p.lowFor
+}
+
+// writeRPS is how many puts a second the service takes, as far as is seen.
+func (n *Node) writeRPS() float64 {
+	if next := n.cfg.NextWriteRPS; next > 0 && n.now < n.puts.lowUntil {
+		return min(next, n.cfg.WriteRPS)
+	}
+	return n.cfg.WriteRPS
 }
 
 // forBulk is the part of the puts that is shared by need: nine tenths, and less
 // when users submit and withdraw a lot, or they would be refused.
 func (n *Node) forBulk() float64 {
-	return max(0.5, min(0.9, 0.95-1.25*n.puts.users/n.cfg.WriteRPS))
+	return max(0.5, min(0.9, 0.95-1.25*n.puts.users/n.writeRPS()))
 }
 
 // mayPut is how many puts we may send now.
 func (n *Node) mayPut() int {
-	if n.cfg.WriteRPS <= 0 {
+	if n.writeRPS() <= 0 {
 		return n.cfg.TxnOps
 	}
 	p := &n.puts
@@ -40,7 +60,7 @@
 		p.rate = n.putRate()
 	}
 	// All together stay within the burst of a second that the service allows.
-	most := max(float64(n.cfg.BatchPuts), 1.5*n.cfg.WriteRPS/float64(len(n.cfg.Members))) + 1
+	most := max(float64(n.cfg.BatchPuts), 1.5*n.writeRPS()/float64(len(n.cfg.Members))) + 1
 	p.left = min(p.left+p.rate*(n.now-p.at).Seconds(), most)
 	p.at = n.now
 	return int(p.left)
@@ -59,7 +79,7 @@
 			total++
 		}
 	}
-	all := n.cfg.WriteRPS * n.forBulk()
+	all := n.writeRPS() * n.forBulk()
 	n.puts.behind = (total - float64(len(n.cfg.Members))) / all
 	return max(all*mine/total, all/float64(3*len(n.cfg.Members)))
 }
@@ -68,10 +88,10 @@
 // takes two seconds and more or when well over half of all puts are in use:
 // then it pays to write less, at some delay.
 func (n *Node) scarcity() float64 {
-	if n.cfg.WriteRPS <= 0 {
+	if n.writeRPS() <= 0 {
 		return 0
 	}
-	return max(0, min(1, max(n.puts.behind/2, (n.puts.used/n.cfg.WriteRPS-0.25)*3)))
+	return max(0, min(1, max(n.puts.behind/2, (n.puts.used/n.writeRPS()-0.25)*3)))
 }
 
 // sawPuts counts what the watch shows.
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -35,15 +36,15 @@
 	order := slices.Clone(n.live)
 	slices.SortFunc(order, func(a, b int) int {
 		x, y := n.jobs[a], n.jobs[b]
-		if x.rec.At != y.rec.At {
-			return cmp.Compare(x.rec.At, y.rec.At)
+		if x.sinceMS() != y.sinceMS() {
+			return cmp.Compare(x.sinceMS(), y.sinceMS())
 		}
 		return cmp.Compare(x.ref, y.ref)
 	})
 	sum := make([]use, n.teams.Len())
 	for _, jx := range order {
 		j := n.jobs[jx]
-		if j.rec.State != wire.Live || j.rec.Spec == nil || j.team < 0 {
+		if j.rec.State != wire.Live || j.rec.Spec == nil || j.team < 0 || j.waits() {
 			continue
 		}
 		sp := j.rec.Spec
@@ -84,12 +85,21 @@
 		slices.SortStableFunc(q.wants, func(a, b *want) int {
 			// A bulk job's turn comes seldom and takes one put; behind a swarm of
 			// small jobs, which need one each, it would never come.
-			return cmp.Or(b.rank()-a.rank(), b2i(b.j.bulk)-b2i(a.j.bulk))
+			// Among equals the stages of a chain go by when they have to begin to
+			// be in time, before what has no such time.
+			return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.startBy(), b.startBy()), b2i(b.j.bulk)-b2i(a.j.bulk))
 		})
 	}
 	return out
 }
 
+func (w *want) startBy() int64 {
+	if ms := w.j.startMS(); ms != 0 {
+		return ms
+	}
+	return math.MaxInt64
+}
+
 // placingTime is how long a job's owners have for placing what was granted
 // before more is granted to it, when puts are scarce: the record can't be
 // written by both at once.
@@ -384,7 +394,10 @@
 		return
 	}
 	j.blockedSince = p.n.now
-	if j.rec.Next == 1 {
+	switch {
+	case j.rec.Next == 1 && j.chain != nil && len(j.chain.needs) > 0:
+		j.blockedSince = j.chain.readyAt
+	case j.rec.Next == 1:
 		j.blockedSince -= max(0, Time(p.n.cfg.WallMS()-j.rec.At)*time.Millisecond)
 	}
 	if j.blockedSince == 0 {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -13,6 +13,7 @@
 	bytes int
 	limit int // puts
 	ended map[taskKey]bool
+	ahead bool           // further keys may be written before the record names them
 	tries map[int]uint64 // the attempt number of what is granted or placed anew here, by job
 }
 
@@ -26,7 +27,7 @@
 	if r := w.recs[j.ix]; r != nil {
 		return r
 	}
-	size := 900 + recordCost(j.rec.Active, j.rec.DoneSet)
+	size := max(900, j.base) + recordCost(j.rec.Active, j.rec.DoneSet)
 	if len(w.order)+len(w.extra) >= w.limit || w.bytes+size > 48_000 {
 		return nil
 	}
@@ -71,10 +72,21 @@
 	}
 	writes := w.extra
 	for _, jx := range w.order {
-		j := w.n.jobs[jx]
-		tidy(w.recs[jx])
+		j, rec := w.n.jobs[jx], w.recs[jx]
+		rec.More = 0
+		tidy(rec)
+		changed := w.n.spread(j.ref, j.rec.Active, j.rec.More, 0, rec)
+		if len(changed) > w.n.cfg.TxnOps && w.ahead && len(writes) == 0 {
+			changed = aheadOf(changed, j.rec.More, w.n.cfg.TxnOps)
+		}
+		if len(writes)+len(changed) > w.n.cfg.TxnOps {
+			continue // it is decided again
+		}
 		conds = append(conds, Cond{wire.JobKey(j.ref), j.rev})
-		writes = append(writes, Write{Key: wire.JobKey(j.ref), Value: w.recs[jx]})
+		writes = append(writes, changed...)
+	}
+	if len(writes) == 0 {
+		return
 	}
 	b.start(w.n, conds, writes, w.extra, onOK)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,7 +83,7 @@
 	}
 	n.core = core.New(coreConfig(s, op))
 	members := len(s.Peers) + 1
-	n.store = store.New(s.External.State, members, d.State.RPS, n.post)
+	n.store = store.New(s.External.State, members, s.Limits().RPS, n.post)
 	n.cloud = cloud.New(s.External.Cloud, d.Cloud.RPS, n.post)
 	n.orders = worker.NewClient(n.post)
 	for _, p := range s.Peers {
@@ -117,7 +117,7 @@
 const bulkTasksPerCore = 6000
 
 func coreConfig(s *config.Settings, op config.Operator) core.Config {
-	d := &s.Deployment
+	d, limits := &s.Deployment, s.Limits()
 	c := core.Config{
 		Self: s.Label, Zone: s.Zone,
 		Life:    fmt.Sprintf("%d-%d-%d", os.Getpid(), time.Now().UnixNano(), rand.Uint32()),
@@ -127,13 +127,13 @@
 		GangWait:  config.Seconds(d.Workers.GangWaitS),
 		Validity:  s.Validity(),
 		LeaderTTL: 5 * time.Second,
-		TxnOps:    d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		TxnOps:    limits.TxnOps, ValueBytes: limits.ValueBytes, ValueNow: int(d.State.ValueKB * 1024),
 		// A transaction needs as many of the puts allowed a second at once; a
 		// large one would wait behind every small one.
 		BatchPuts: max(2, int(1.5*d.State.WriteRPS/float64(len(s.Peers)+1))),
 		BulkTasks: int(bulkTasksPerCore * d.Limits.CoreShare),
 		ListLag:   config.Seconds(d.Cloud.ListLagS),
-		CloudRPS:  d.Cloud.RPS, StateRPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
+		CloudRPS:  d.Cloud.RPS, StateRPS: limits.RPS, WriteRPS: d.State.WriteRPS, NextWriteRPS: limits.WriteRPS,
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
 		MaxMachines: op.MaxMachines, Preempt: op.Preempt,
 		WallMS: func() int64 { return time.Now().UnixMilli() },
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -73,8 +73,14 @@
 	Lease  uint64             `msgpack:"permit"`
 	Failed []string           `msgpack:"failed"`
 	Error  string             `msgpack:"error"`
+
+	limited bool // 429 was seen
 }
 
+// noLease is what the service says of a put under a lease that has ended. Any other
+// fault that it finds in a transaction of ours is that it is too large.
+const noLease = "no such lease"
+
 // Commit runs a transaction.
 func (c *Client) Commit(q core.Commit) {
 	go func() {
@@ -104,7 +110,7 @@
 		}
 		var a answer
 		out := c.call(q.Class, http.MethodPost, "/commit", body, &a)
-		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev, Failed: a.Failed})
+		c.post(core.Committed{ID: q.ID, Outcome: out, Rev: a.Rev, Failed: a.Failed, Limited: a.limited})
 	}()
 }
 
@@ -164,8 +170,14 @@
 		case http.StatusNotFound:
 			return core.Missing
 		case http.StatusBadRequest:
+			if a, ok := into.(*answer); ok && a.Error != noLease {
+				return core.TooLarge
+			}
 			return core.BadLease
 		case http.StatusTooManyRequests:
+			if a, ok := into.(*answer); ok {
+				a.limited = true
+			}
 			// What may wait is better decided anew.
 			if try < 4 && class != core.Bulk {
 				time.Sleep(time.Duration(100+rand.IntN(150)*(try+1)) * time.Millisecond)
@@ -204,7 +216,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if into != nil && len(b) > 0 && (resp.StatusCode == 200 || resp.StatusCode == 409) {
+	if into != nil && len(b) > 0 && (resp.StatusCode == 200 || resp.StatusCode == 409 || resp.StatusCode == 400) {
 		if err := wire.Decode(b, into); err != nil {
 			return 0, err
 		}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -50,16 +50,18 @@
 func TestCommitOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		status int
+		says   string
 		want   core.Outcome
 		rev    uint64
-	}{{200, core.OK, 7}, {409, core.Conflict, 7}, {400, core.BadLease, 0}, {503, core.Refused, 0}, {500, core.Unknown, 0}} {
+	}{{200, "", core.OK, 7}, {409, "", core.Conflict, 7}, {400, "no such lease", core.BadLease, 7}, {400, "value too large", core.TooLarge, 7},
+		{400, "", core.TooLarge, 7}, {503, "", core.Refused, 0}, {500, "", core.Unknown, 0}} {
 		var seen map[string]any
 		s, got := standIn(t, func(w http.ResponseWriter, r *http.Request) {
 			b, _ := io.ReadAll(r.Body)
 			if r.URL.Path != "/commit" || wire.Decode(b, &seen) != nil {
 				t.Errorf("got %s %x", r.URL, b)
 			}
-			reply(w, c.status, map[string]any{"ledger_rev": 7})
+			reply(w, c.status, map[string]any{"ledger_rev": 7, "error": c.says})
 		})
 		s.Commit(core.Commit{ID: 3, If: []core.Cond{{Key: "m/a", Rev: 5}}, Writes: []core.Write{
 			{Key: "m/p/x", Value: &wire.Part{Owner: "n0"}, Lease: 9}, {Key: "m/b"}}})
--- a/internal/wire/active.go
+++ b/internal/wire/active.go
@@ -16,6 +16,9 @@
 	Host    string
 	Session uint64
 	Stop    int
+	// In says which key holds it: 1 the job's own record, 2 the first of the
+	// further ones and so on, 0 none yet. It is not written.
+	In int
 }
 
 // Actives are the active tasks of a job. Neighbours that differ in their number
@@ -32,12 +35,13 @@
 }
 
 // list is what the tasks of a list have in common.
-func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop} }
+func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop, a.In} }
 
 type runList struct {
 	part    int
 	session uint64
 	stop    int
+	in      int
 }
 
 // Run gives the bounds of the run that an entry belongs to.
@@ -59,6 +63,9 @@
 	runCost  = 22
 )
 
+// ListCost bounds what a list takes besides its runs.
+const ListCost = listCost
+
 // Cost bounds the size of the encoded tasks in that form.
 func (l Actives) Cost() int {
 	cost := 0
--- /dev/null
+++ b/internal/wire/format_test.go
@@ -0,0 +1,167 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/hex"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// What format 1 looks like: testdata/format1 was written by the version that is in
+// production, see the README there. Spelled out here as this version reads it.
+func format1() map[string]any {
+	spec := &Spec{Ref: "wk-000412", Class: "train", Team: "vision", Shape: "array", Urgency: "high", Frames: 16, Cores: 8, Cards: 1, MemoryGB: 64,
+		Image: "img-07", ImageGB: 6.2, Rigs: []string{"g8"}, Zone: "a", SameZone: true, Spot: true, ExpectedS: 240, CheckpointS: 30, SaveS: 4, DueS: 900}
+	g := &Gossip{From: "stanok-2", Life: "9-1-1", UpS: 12.5, StoreOK: true, Parts: []int{1}, Terms: []uint64{44},
+		Seen: map[string]Seen{"stanok-0": {Life: "7-98-1", Ver: 8}}, Need: 3, Since: 2, Ver: 9, Names: []string{"a", "g8", "img-01"},
+		Hosts: []HostInfo{{Name: "vm-000003", Rig: 1, Zone: 0, Flags: FlagSpot, Images: []int{2}}},
+		Holds: []Hold{{Ref: "wk-000412", Attempt: 3, Part: 1, OK: true}}, Tries: []Hold{{Ref: "wk-000412", Attempt: 3}},
+		Kept: []Kept{{Host: "vm-000003", Ref: "wk-000412"}}, Retire: []string{"vm-000001"}, Returned: []string{"vm-000002"}, Strays: []string{"vm-000005"}}
+	return map[string]any{
+		"job-live": &Job{Spec: spec, Frames: 16, At: 1764640000123, Next: 7, DoneSet: [][2]int{{0, 3}, {5, 6}}, Errors: 2, Avoid: []string{"vm-000004"},
+			Active: Actives{{Task: 3, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2}, {Task: 4, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2},
+				{Task: 7, Attempt: 6, Part: 0, Host: "vm-000007", Session: 1, Stop: Preempt}, {Task: 8, Attempt: 6, Part: 2}}},
+		"job-done":      &Job{State: Done, Frames: 16, At: 1764640000123, Next: 17},
+		"job-withdrawn": &Job{State: Withdrawn, Frames: 4, At: 1764640000123, Next: 3, DoneSet: [][2]int{{0, 1}}},
+		"part":          &Part{Owner: "stanok-1", Life: "7-99-3"},
+		"leader":        &Leader{Node: "stanok-0", Life: "7-98-1"},
+		"gang":          &Gang{Attempt: 3, State: GangConfirmed, Parts: []int{0, 2}},
+		"images":        &Images{Names: []string{"img-01", "img-02"}, Hosts: map[string][]int{"vm-000003": {0, 1}}},
+		"types": &Types{Rigs: []Flavor{{Name: "g8", Cores: 96, Cards: 8, MemoryGB: 768, CacheGB: 200, FetchGBs: 1, Price: 12, SpotPrice: 4.5,
+			BootS: 45, Zones: []string{"a", "b"}}}},
+		"room":           g,
+		"gob-gossip":     g,
+		"gob-usercall":   &UserCall{Kind: "poll", Ref: "wk-000412"},
+		"gob-useranswer": &UserAnswer{Status: 200, Body: []byte{1, 2}},
+	}
+}
+
+// The messages between controllers as the types of format 1 have them.
+type (
+	hostInfo1 struct {
+		Name   string
+		Rig    int
+		Zone   int
+		Flags  int
+		Errors int
+		Images []int
+	}
+	hold1 struct {
+		Ref     string
+		Attempt uint64
+		Part    int
+		OK      bool
+	}
+	kept1 struct {
+		Host string
+		Ref  string
+	}
+	seen1 struct {
+		Life string
+		Ver  uint64
+	}
+	gossip1 struct {
+		From     string
+		Life     string
+		UpS      float64
+		StoreOK  bool
+		CutOff   bool
+		Parts    []int
+		Terms    []uint64
+		Seen     map[string]seen1
+		Need     int
+		Since    uint64
+		Ver      uint64
+		Names    []string
+		Hosts    []hostInfo1
+		Holds    []hold1
+		Tries    []hold1
+		Kept     []kept1
+		Retire   []string
+		Returned []string
+		Strays   []string
+	}
+	userCall1 struct {
+		Kind string
+		Ref  string
+		Body []byte
+	}
+	userAnswer1 struct {
+		Status int
+		Body   []byte
+	}
+)
+
+var inFormat1 = map[string]func() any{
+	"gob-gossip":     func() any { return new(gossip1) },
+	"gob-usercall":   func() any { return new(userCall1) },
+	"gob-useranswer": func() any { return new(userAnswer1) },
+}
+
+func fixture(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../testdata/format1/" + name + ".hex")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// What the version in production has written is read as it was meant, and what is
+// written before all controllers have been upgraded is what it would have written:
+// records byte for byte, messages between controllers as gob's types go.
+func TestFormat1(t *testing.T) {
+	for name, want := range format1() {
+		b := fixture(t, name)
+		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
+		if strings.HasPrefix(name, "gob-") {
+			if err := gob.NewDecoder(bytes.NewReader(b)).Decode(got); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("%s: read as %+v, %v", name, got, err)
+			}
+			// Read by the types of format 1, what we write is the same as what it wrote.
+			var ours bytes.Buffer
+			if err := gob.NewEncoder(&ours).Encode(want); err != nil {
+				t.Fatal(err)
+			}
+			x, y := inFormat1[name](), inFormat1[name]()
+			if err := gob.NewDecoder(&ours).Decode(x); err != nil {
+				t.Errorf("%s: format 1 can't read it: %v", name, err)
+			}
+			if err := gob.NewDecoder(bytes.NewReader(b)).Decode(y); err != nil || !reflect.DeepEqual(x, y) {
+				t.Errorf("%s: format 1 reads %+v, not %+v, %v", name, x, y, err)
+			}
+			continue
+		}
+		if err := Decode(b, got); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: read as %+v, %v", name, got, err)
+		}
+		if ours, err := Encode(want); err != nil || !bytes.Equal(ours, b) {
+			t.Errorf("%s: not written as in format 1, %v", name, err)
+		}
+	}
+}
+
+// The version in production skips the keys that it does not know, as DecodeRecord
+// has always done; none of the new ones looks like one that it does.
+func TestNewKeysAreNoneOfFormat1(t *testing.T) {
+	for _, key := range []string{MoreKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
+		for _, old := range []string{JobPrefix, PartPrefix, GangPrefix, RoomPrefix, ImagePrefix, LeaderKey, TypesKey} {
+			if strings.HasPrefix(key, old) {
+				t.Errorf("%s begins like %s", key, old)
+			}
+		}
+	}
+	if ref, k := SplitMore(MoreKey("wk-000412", 12)); ref != "wk-000412" || k != 12 {
+		t.Errorf("%s, %d", ref, k)
+	}
+	if v, err := DecodeRecord("m/unknown/x", []byte{0x80}); v != nil || err != nil {
+		t.Errorf("%v, %v", v, err)
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -70,6 +70,9 @@
 	SaveS         float64  `msgpack:"snapshot_s"`
 	DueS          float64  `msgpack:"due_s,omitempty"`
 	RigsForbidAll bool     `msgpack:"none,omitempty"` // rigs was an empty list: no type allowed
+	// WaitsOn are the jobs that have to be done before any task starts. A record
+	// holds those that were not done when it was submitted. Format 2.
+	WaitsOn []string `msgpack:"waits_on,omitempty"`
 }
 
 // JobStatus answers users.
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -18,10 +19,17 @@
 	GangPrefix  = "m/g/"
 	RoomPrefix  = "m/r/"
 	ImagePrefix = "m/i/"
-	LeaderKey   = "m/leader"
-	TypesKey    = "m/types"
+	// Since format 2:
+	MorePrefix   = "m/x/"
+	FormatPrefix = "m/f/"
+	LeaderKey    = "m/leader"
+	TypesKey     = "m/types"
 )
 
+// Format is what this version reads and, once all controllers do, writes: see
+// "Two versions side by side" in docs/design.md.
+const Format = 2
+
 // Final and live states of a job record.
 const (
 	Live      = 0
@@ -47,6 +55,19 @@
 	Active  Actives  `msgpack:"ac,omitempty"`
 	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
 	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
+	More    int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
+}
+
+// More continues the active tasks of a job where one value is too small. A
+// change of it changes the job's own record too, in the same transaction, so that
+// the revision of that one stands for all.
+type More struct {
+	Active Actives `msgpack:"ac"`
+}
+
+// Reads says which format a controller reads. It is left for good.
+type Reads struct {
+	Format int `msgpack:"v"`
 }
 
 // Part is the claim of a part. Its term is the revision of the claim.
@@ -94,6 +115,19 @@
 // PartKey is the key of a part's claim.
 func PartKey(name string) string { return PartPrefix + name }
 
+// MoreKey is the key of a job's further active tasks.
+func MoreKey(ref string, k int) string { return MorePrefix + ref + "/" + strconv.Itoa(k) }
+
+// SplitMore is the reverse of MoreKey.
+func SplitMore(key string) (ref string, k int) {
+	ref, num, _ := strings.Cut(strings.TrimPrefix(key, MorePrefix), "/")
+	k, err := strconv.Atoi(num)
+	if err != nil {
+		return ref, 0
+	}
+	return ref, k
+}
+
 // GangKey is the key of a gang attempt's record.
 func GangKey(ref string, attempt uint64) string {
 	return GangPrefix + ref + "/" + strconv.FormatUint(attempt, 10)
@@ -137,6 +171,23 @@
 	return nil
 }
 
+// JSONSize is a value's size in the form in which the state service measures it.
+func JSONSize(v any) (int, error) {
+	b, err := Encode(v)
+	if err != nil {
+		return 0, err
+	}
+	var any_ any
+	if err := Decode(b, &any_); err != nil {
+		return 0, err
+	}
+	text, err := json.Marshal(any_)
+	if err != nil {
+		return 0, fmt.Errorf("size: %w", err)
+	}
+	return len(text), nil
+}
+
 // DecodeRecord reads a record by the kind of its key. It gives nil for a key
 // that is not ours.
 func DecodeRecord(key string, raw []byte) (any, error) {
@@ -152,6 +203,10 @@
 		v = new(Gossip)
 	case strings.HasPrefix(key, ImagePrefix):
 		v = new(Images)
+	case strings.HasPrefix(key, MorePrefix):
+		v = new(More)
+	case strings.HasPrefix(key, FormatPrefix):
+		v = new(Reads)
 	case key == LeaderKey:
 		v = new(Leader)
 	case key == TypesKey:
--- a/internal/wire/submit.go
+++ b/internal/wire/submit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -59,12 +60,36 @@
 		}
 		s.RigsForbidAll = ok && len(list) == 0
 	}
+	s.WaitsOn = p.refs("waits_on")
 	if p.err != nil {
 		return ref, nil, p.err
 	}
 	return ref, s, nil
 }
 
+// refs reads a list of job ids that may be left out; each counts once.
+func (p *parser) refs(f string) []string {
+	v := p.m[f]
+	if v == nil {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		p.fail(f)
+	}
+	var out []string
+	for _, x := range list {
+		ref, ok := x.(string)
+		if !ok || !ValidRef(ref) {
+			p.fail(f)
+			return nil
+		}
+		out = append(out, ref)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 type parser struct {
 	m   map[string]any
 	err error
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -32,8 +32,24 @@
 	}
 }
 
+// The jobs that one waits on may be left out, and each counts once.
+func TestParseWaitsOn(t *testing.T) {
+	for _, c := range []struct {
+		given any
+		want  []string
+	}{{nil, nil}, {[]string{}, nil}, {[]string{"wk-000009", "wk-000003", "wk-000009"}, []string{"wk-000003", "wk-000009"}}} {
+		_, s, err := ParseSpec(body(t, func(m map[string]any) { m["waits_on"] = c.given }))
+		if err != nil || !reflect.DeepEqual(s.WaitsOn, c.want) {
+			t.Errorf("%v: got %+v, %v", c.given, s, err)
+		}
+	}
+}
+
 func TestParseSpecRefuses(t *testing.T) {
 	for name, change := range map[string]func(map[string]any){
+		"waits on text":   func(m map[string]any) { m["waits_on"] = "wk-000003" },
+		"waits on number": func(m map[string]any) { m["waits_on"] = []any{"wk-000003", 7} },
+		"waits on no id":  func(m map[string]any) { m["waits_on"] = []string{"wk-3", "job-4"} },
 		"no frames":       func(m map[string]any) { delete(m, "frames") },
 		"frames 0":        func(m map[string]any) { m["frames"] = 0 },
 		"frames too many": func(m map[string]any) { m["frames"] = 100001 },
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -139,6 +139,20 @@
 				}
 			})
 		}
+	case "limits": // the state service's next limits hold from now on
+		w.WriteRPS, w.TxnOps, w.ValueBytes = w.NextWriteRPS, w.NextTxnOps, w.NextValueBytes
+	case "roll": // controllers end one after the other, SECONDS apart, and come back with the new version after SECONDS
+		for i, n := range w.nodes {
+			w.after(time.Duration(i)*dur(0), func() {
+				n.old = false
+				w.Crash(n.ix, dur(1))
+			})
+		}
+	case "pipelines": // a second, seconds, share withdrawn, share whose last job comes when the rest is over
+		every := secs(1 / num(0))
+		for i := range int(num(0) * num(1)) {
+			w.after(time.Duration(i)*every, func() { w.pipeline(num(2), num(3)) })
+		}
 	default:
 		return fmt.Errorf("unknown verb")
 	}
@@ -375,7 +389,7 @@
 
 // waits tells whether a job that should run has nothing on any machine.
 func (u *userSim) waits() bool {
-	if !u.accepted || u.asked || u.fails || len(u.on) > 0 && slices.ContainsFunc(u.on, func(t *taskSim) bool { return t.state != wire.TaskEnded }) {
+	if !u.accepted || u.asked || u.fails || u.held() || len(u.on) > 0 && slices.ContainsFunc(u.on, func(t *taskSim) bool { return t.state != wire.TaskEnded }) {
 		return false
 	}
 	return !u.ended()
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -55,6 +55,12 @@
 	if s.Rigs != nil {
 		m["rigs"] = s.Rigs
 	}
+	if s.WaitsOn != nil {
+		m["waits_on"] = s.WaitsOn
+	}
+	if s.DueS > 0 {
+		m["due_s"] = s.DueS
+	}
 	b, err := wire.Encode(m)
 	must(err)
 	return b
@@ -141,9 +147,14 @@
 	if (u.told == wire.StatusDone || u.told == wire.StatusWithdrawn) && s.Status != u.told {
 		u.w.broke("went_back", "%s: %s after %s", u.spec.Ref, s.Status, u.told)
 	}
-	if s.Status == wire.StatusWithdrawn && !u.asked {
+	if s.Status == wire.StatusWithdrawn && !u.asked && u.above(func(a *userSim) bool { return a.asked }) == nil {
 		u.w.broke("went_back", "%s: withdrawn unasked", u.spec.Ref)
 	}
+	if s.Status != wire.StatusDone && s.Status != wire.StatusWithdrawn {
+		if a := u.above(func(a *userSim) bool { return a.withdrawn > 0 && asked-a.withdrawn > u.w.Cancel }); a != nil {
+			u.w.broke("orphaned", "%s: %s, though %s was withdrawn %v ago", u.spec.Ref, s.Status, a.spec.Ref, u.w.now-a.withdrawn)
+		}
+	}
 	if s.Status == wire.StatusDone {
 		for t := range u.spec.Frames {
 			if !u.w.done[wire.TaskName(u.spec.Ref, t)] {
--- a/internal/world/rules.go
+++ b/internal/world/rules.go
@@ -36,6 +36,11 @@
 		w.broke("attempt_recurs", "%s on %s and then on %s", name, at, k.m.Name)
 	}
 	w.attempts[name] = k.m.Name
+	for _, ref := range sp.WaitsOn {
+		if a := w.users[ref]; a == nil || !a.ended() {
+			w.broke("too_early", "%s/%d before %s is done", t.ref, t.task, ref)
+		}
+	}
 	zones := map[string]int{}
 	cores, cards := 0.0, 0.0
 	t.u.present(func(k2 *workerSim, x *taskSim) {
@@ -162,7 +167,7 @@
 		s.begun += map[bool]int{true: 1}[begun]
 	}
 	judged := func(u *userSim) bool {
-		return u.accepted && !u.asked && !u.fails && w.now-u.since > beginWithin
+		return u.accepted && !u.asked && !u.fails && w.now-u.since > beginWithin && !u.held()
 	}
 	for _, u := range w.order {
 		if judged(u) {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -89,6 +89,14 @@
 			s.TxnOps = int(num())
 		case "value_bytes":
 			s.ValueBytes = int(num())
+		case "next_write_rps":
+			s.NextWriteRPS = num()
+		case "next_txn_ops":
+			s.NextTxnOps = int(num())
+		case "next_value_bytes":
+			s.NextValueBytes = int(num())
+		case "version":
+			s.Old = f[1] == "old"
 		default:
 			return fmt.Errorf("unknown setting %s", f[0])
 		}
@@ -300,6 +308,10 @@
 			only = int(x)
 		case "fails":
 			fails = true
+		case "after":
+			s.WaitsOn = strings.Split(v, ",")
+		case "due":
+			s.DueS = x
 		default:
 			return fmt.Errorf("unknown attribute %s", k)
 		}
@@ -488,7 +500,8 @@
 // expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, deaf=0,
 // owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
 // refused<=N commits, looks_per_report<=N at machines by all controllers, and
-// bytes_per_s<=N between controllers; late_starts<=N counts starts that workers
+// bytes_per_s<=N between controllers; more_keys<=N and >=N further keys of records;
+// late_starts<=N counts starts that workers
 // carried out after the user was told that the job is withdrawn.
 func (w *World) expectWorld(what string) (string, bool, error) {
 	holds, got := false, any(nil)
@@ -500,12 +513,16 @@
 			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
 			"bytes_per_s":      w.meter.bytes / seconds,
 			"late_starts":      w.lateStarts,
+			"more_keys":        w.store.moreKeys(),
 		}
 		n, known := count[k]
 		if !known {
 			return what, false, nil
 		}
 		holds, got = n <= limit, n
+	} else if v, ok := strings.CutPrefix(what, "more_keys>="); ok {
+		limit, _ := strconv.Atoi(v)
+		holds, got = w.store.moreKeys() >= limit, w.store.moreKeys()
 	} else if v, ok := strings.CutPrefix(what, "machines>="); ok {
 		limit, _ := strconv.Atoi(v)
 		holds, got = len(w.up()) >= limit, len(w.up())
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -87,48 +87,52 @@
 	return len(text)
 }
 
-func (s *store) commit(conds []core.Cond, puts []put) (core.Outcome, uint64) {
+func (s *store) commit(n *node, conds []core.Cond, puts []put) (core.Outcome, uint64, []string) {
 	if s.outage {
-		return core.Refused, 0
+		return core.Refused, 0, nil
 	}
 	if len(puts) > s.w.TxnOps || len(conds) > 4*s.w.TxnOps {
-		s.w.broke("limits", "transaction with %d writes and %d conditions", len(puts), len(conds))
+		s.w.broke("limits", "%s: transaction with %d writes and %d conditions", n.label, len(puts), len(conds))
 	}
 	if limit := s.w.WriteRPS; limit > 0 {
 		s.puts = min(limit, s.puts+limit*(s.w.now-s.putsAt).Seconds())
 		s.putsAt = s.w.now
 		if s.puts < float64(len(puts)) {
 			s.w.meter.refused++
-			return core.Refused, 0
+			return core.Refused, 0, nil
 		}
 		s.puts -= float64(len(puts))
 	}
 	for _, p := range puts {
 		if size := jsonSize(p.raw, s.w.ValueBytes/4); size > s.w.ValueBytes {
-			s.w.broke("limits", "value of %s has %d bytes", p.key, size)
+			s.w.broke("limits", "%s: value of %s has %d bytes", n.label, p.key, size)
 		}
 		if p.lease != 0 && s.leases[p.lease] == nil {
-			return core.BadLease, s.rev
+			return core.BadLease, s.rev, nil
 		}
 	}
+	var failed []string
 	for _, c := range conds {
 		have := uint64(0)
 		if e := s.keys[c.Key]; e != nil {
 			have = e.rev
 		}
 		if have != c.Rev {
-			return core.Conflict, s.rev
+			failed = append(failed, c.Key)
 		}
 	}
+	if len(failed) > 0 {
+		return core.Conflict, s.rev, failed
+	}
 	if len(puts) == 0 {
-		return core.OK, s.rev
+		return core.OK, s.rev, nil
 	}
 	s.rev++
 	for _, p := range puts {
 		s.apply(p, s.rev)
 	}
 	s.notify()
-	return core.OK, s.rev
+	return core.OK, s.rev, nil
 }
 
 func (s *store) apply(p put, rev uint64) {
@@ -151,6 +155,17 @@
 	s.log = append(s.log, change{p.key, p.raw, rev})
 }
 
+// moreKeys counts the further keys of records.
+func (s *store) moreKeys() int {
+	k := 0
+	for key := range s.keys {
+		if strings.HasPrefix(key, wire.MorePrefix) {
+			k++
+		}
+	}
+	return k
+}
+
 func (s *store) lease(id uint64, ttl time.Duration) (core.Outcome, uint64) {
 	if s.outage {
 		return core.Refused, 0
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -34,6 +34,11 @@
 	TxnOps     int
 	ValueBytes int
 	Idle       time.Duration
+	// Limits of the state service that will hold from some moment on; 0: no others.
+	NextWriteRPS   float64
+	NextTxnOps     int
+	NextValueBytes int
+	Old            bool // controllers begin with the version before
 }
 
 // Defaults are those of a small deployment.
@@ -95,6 +100,7 @@
 	zone  string
 	core  *core.Node
 	up    bool
+	old   bool // it plays the version before
 	life  int
 	boot  time.Duration
 	drift float64
@@ -144,6 +150,7 @@
 	w.cloud = newCloud(w)
 	for i, z := range s.Nodes {
 		n := &node{w: w, ix: i, label: fmt.Sprintf("n%d", i), zone: z, drift: 1 + 0.0005*float64(i)/float64(len(s.Nodes))}
+		n.old = s.Old
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
@@ -263,6 +270,18 @@
 		ListLag:   4 * time.Second, BatchPuts: w.batchPuts(), CloudRPS: 2, StateRPS: 250, WriteRPS: w.WriteRPS, IdleReturn: w.Idle, Spares: 1, Preempt: true,
 		WallMS: func() int64 { return w.now.Milliseconds() },
 	}
+	least := func(now, next int) int {
+		if next > 0 {
+			return min(now, next)
+		}
+		return now
+	}
+	if n.old {
+		cfg.Format = 1
+	} else {
+		cfg.ValueNow, cfg.ValueBytes = cfg.ValueBytes, least(cfg.ValueBytes, w.NextValueBytes)
+		cfg.TxnOps, cfg.NextWriteRPS = least(cfg.TxnOps, w.NextTxnOps), w.NextWriteRPS
+	}
 	for _, m := range w.nodes {
 		cfg.Members = append(cfg.Members, core.Member{Label: m.label, Zone: m.zone})
 	}
@@ -397,8 +416,9 @@
 	case core.Commit:
 		puts := encodeWrites(x.Writes)
 		n.call(w.writeFate(len(puts)), func() any {
-			out, rev := w.store.commit(x.If, puts)
-			return core.Committed{ID: x.ID, Outcome: out, Rev: rev}
+			refused := w.meter.refused
+			out, rev, failed := w.store.commit(n, x.If, puts)
+			return core.Committed{ID: x.ID, Outcome: out, Rev: rev, Failed: failed, Limited: w.meter.refused > refused}
 		}, core.Committed{ID: x.ID, Outcome: core.Unknown}, func() any {
 			if w.store.refuses(n) {
 				return core.Committed{ID: x.ID, Outcome: core.Refused}
