Tasks without cards use what is left beside tasks with; none stands idle for them

Cause: a machine whose cards were all in use counted as full, so the stages of chains, which need no card, kept to machines with free cards: a third of the farm's stood idle or half used (leader's log of rollout), and the reserve kept more for proxy-mesh.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -268,10 +268,11 @@
 type class struct {
 	part, zone, rig, cards          int
 	spot, untouched, daemon, faulty bool
+	none                            bool // no card is free, not even part of one
 }
 
 func (s *slot) classify() class {
-	return class{part: s.part, zone: s.zone, rig: s.rig, cards: int(s.cards + eps), spot: s.spot,
+	return class{part: s.part, zone: s.zone, rig: s.rig, cards: int(s.cards + eps), none: s.cards <= eps, spot: s.spot,
 		untouched: s.untouched(), daemon: s.daemon, faulty: s.errors > 0}
 }
 
@@ -284,11 +285,18 @@
 	soon    []*slot // those with room about to be free
 	open    map[class]*[]*slot
 	order   []class
-	byImage map[int][]*slot
+	byImage map[imageList][]*slot
+}
+
+// imageList names a list of slots that have an image: those with a free card, or
+// for tasks that need none, all that have room.
+type imageList struct {
+	image    int
+	cardless bool
 }
 
 func newSlotSet(n *Node) *slotSet {
-	return &slotSet{n: n, open: map[class]*[]*slot{}, byImage: map[int][]*slot{}}
+	return &slotSet{n: n, open: map[class]*[]*slot{}, byImage: map[imageList][]*slot{}}
 }
 
 func (x *slotSet) add(s *slot) {
@@ -301,11 +309,16 @@
 	x.list(s)
 }
 
-// full tells whether there is nothing on the machine to be had.
-func (s *slot) full() bool { return s.cores <= eps || s.rigRef.Cards > 0 && s.cards <= eps }
+// full tells whether there is nothing on the machine to be had, by a task that
+// needs cards or by one that does not: what is left of a machine whose cards are all
+// in use is of use to the latter. Before this such tasks kept to machines with free
+// cards, which then neither went back nor had room for whole-machine work.
+func (s *slot) full(cardless bool) bool {
+	return s.cores <= eps || !cardless && s.rigRef.Cards > 0 && s.cards <= eps
+}
 
 func (x *slotSet) list(s *slot) {
-	if s.full() || slices.Contains(s.listed, s.class) {
+	if s.full(true) || slices.Contains(s.listed, s.class) {
 		return
 	}
 	s.listed = append(s.listed, s.class)
@@ -327,15 +340,15 @@
 }
 
 // withImage lists the slots with room that have an image or are fetching it.
-func (x *slotSet) withImage(image int) []*slot {
-	l, built := x.byImage[image]
+func (x *slotSet) withImage(k imageList) []*slot {
+	l, built := x.byImage[k]
 	if !built {
 		for _, s := range x.all {
-			if !s.full() && (s.images.has(image) || s.h != nil && x.n.hasOn(s.h, image)) {
+			if !s.full(k.cardless) && (s.images.has(k.image) || s.h != nil && x.n.hasOn(s.h, k.image)) {
 				l = append(l, s)
 			}
 		}
-		x.byImage[image] = l
+		x.byImage[k] = l
 	}
 	return l
 }
@@ -373,7 +386,8 @@
 		}
 	}
 	fits := 0
-	list := x.withImage(j.image)
+	key := imageList{j.image, sp.Cards <= 0}
+	list := x.withImage(key)
 	kept := list[:0]
 	for i, s := range list {
 		n.work++
@@ -381,7 +395,7 @@
 			kept = append(kept, list[i:]...)
 			break
 		}
-		if s.full() {
+		if s.full(key.cardless) {
 			continue
 		}
 		kept = append(kept, s)
@@ -390,9 +404,9 @@
 			try(s)
 		}
 	}
-	x.byImage[j.image] = kept
+	x.byImage[key] = kept
 	for _, c := range x.order {
-		if float64(c.cards)+1 < sp.Cards || !j.allows(c.rig, c.zone, c.spot) {
+		if c.none && !key.cardless && n.flavors[c.rig].Cards > 0 || float64(c.cards)+1 < sp.Cards || !j.allows(c.rig, c.zone, c.spot) {
 			continue
 		}
 		l := x.open[c]
@@ -400,7 +414,7 @@
 		for i := 0; i < len(*l); {
 			s := (*l)[i]
 			n.work++
-			if s.class != c || s.full() { // moved on
+			if s.class != c || s.full(true) { // moved on
 				s.listed = slices.DeleteFunc(s.listed, func(y class) bool { return y == c })
 				last := len(*l) - 1
 				(*l)[i] = (*l)[last]
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -132,7 +132,7 @@
 		}
 		// Where an image alone takes longer, a machine that is up is no help;
 		// where a boot is quick enough, there is no need of one.
-		if lead == 0 || lead+n.imageTime(j) < a.within {
+		if lead == 0 || lead+n.imageTime(j) < a.within || n.besideOthers(j) {
 			continue
 		}
 		for range a.reserve(n.now, n.countedFrom, lead) {
@@ -151,6 +151,21 @@
 	}
 }
 
+// besideOthers tells whether a job's tasks need no cards where all machines that they
+// may run on have some: they find room beside work that does, and machines with cards
+// need not stand idle for them.
+func (n *Node) besideOthers(j *job) bool {
+	if j.rec.Spec.Cards > 0 {
+		return false
+	}
+	for ix, r := range n.flavors {
+		if r != nil && r.Cards == 0 && (j.any || j.rigs.has(ix)) && fitsRig(j.rec.Spec, r) {
+			return false
+		}
+	}
+	return true
+}
+
 // maxClasses bounds the classes that are told apart.
 const maxClasses = 64
 
