--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -178,6 +178,8 @@
 	n.emit(Reply{Req: op.Req, Status: status, Body: body, RetryS: retry})
 }
 
+const notUpgraded = "not before all controllers have been upgraded"
+
 func (n *Node) later(op *userOp, why string) { n.answer(op, 503, wire.Error{Error: why}) }
 
 // handOver gives the request to a peer when we alone can't reach the state
@@ -186,6 +188,11 @@
 	if n.storeOK || op.Forwarded || op.handed {
 		return false
 	}
+	if op.spec != nil && len(op.spec.WaitsOn) > 0 && !n.upgraded {
+		// A peer of the version before would take it for a job that waits on nothing.
+		n.later(op, notUpgraded)
+		return true
+	}
 	for _, m := range n.cfg.Members {
 		p := n.peers[m.Label]
 		if p != nil && p.msg.StoreOK && n.now-p.at < 3*second {
@@ -240,7 +247,7 @@
 		return
 	}
 	if len(s.WaitsOn) > 0 && !n.upgraded {
-		n.later(op, "not before all controllers have been upgraded")
+		n.later(op, notUpgraded)
 		return
 	}
 	if len(s.WaitsOn) > 0 && !n.findNeeds(op) {
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -135,6 +135,15 @@
 	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 || n.moreKeys() > 0 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
 	}
+	// Nor is it handed to a peer, which may be of the version before.
+	n.storeOK = false
+	n.peers["n1"] = &peer{at: n.now, msg: &wire.Gossip{From: "n1", StoreOK: true}}
+	for _, e := range n.Step(n.now+1, UserRequest{Req: 3, Kind: "submit", Body: submission("wk-000100", "wk-000001")}) {
+		if _, is := e.(Forward); is {
+			t.Error("handed on before all are upgraded")
+		}
+	}
+	n.storeOK = true
 	n.Step(n.now+1, Changes{Rev: 9, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 9, Value: &wire.Reads{Format: 2}}}})
 	if r, wrote = settle(n, UserRequest{Req: 2, Kind: "submit", Body: submission("wk-000100", "wk-000001")}, nil); r == nil || r.Status != 201 || len(wrote) != 1 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
--- a/internal/core/more.go
+++ b/internal/core/more.go
@@ -107,11 +107,8 @@
 		}
 	}
 	cost := map[int]int{}
-	for at := 0; at < len(l); at++ {
-		l[at].In = max(l[at].In, 0)
-	}
 	last := wasMore + 1 + len(l) // ample: what is planned keeps to moreKeys
-	for key := 1; key <= last; key++ {
+	for key := 1; key <= wasMore+1; key++ {
 		held := in(l, key)
 		for cost[key] = held.Cost(); cost[key] > room(key) && len(held) > 0; cost[key] = held.Cost() {
 			from, _ := held.Run(len(held) - 1)
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -81,33 +81,25 @@
 
 // meeting runs the lines of a script that are for meetings of troubles.
 func (w *World) meeting(verb string, args []string) error {
-	num := func(i int) float64 {
-		if i >= len(args) {
-			return 0
-		}
-		x, _ := strconv.ParseFloat(args[i], 64)
-		return x
+	num, dur := numbers(args)
+	// All of these take a share or a factor, and seconds; trouble lingers for so long.
+	set := func(share *float64, until *time.Duration, linger time.Duration) {
+		*share, *until = num(0), w.now+dur(1)
+		w.troubled(dur(1) + linger)
 	}
-	dur := func(i int) time.Duration { return secs(num(i)) }
 	switch verb {
-	case "late-writes": // share, seconds
-		w.lateWrites, w.lateWritesTo = num(0), w.now+dur(1)
-		w.troubled(dur(1) + 12*time.Second)
-	case "answers-lost": // share, seconds
-		w.answersLost, w.answersLostTo = num(0), w.now+dur(1)
-		w.troubled(dur(1))
-	case "slow-store": // factor, seconds
-		w.slowStore, w.slowStoreTo = num(0), w.now+dur(1)
-		w.troubled(dur(1))
-	case "slow-links": // factor, seconds
-		w.slowLinks, w.slowLinksTo = num(0), w.now+dur(1)
-		w.troubled(dur(1))
-	case "late-reports": // share, seconds
-		w.lateReports, w.lateReportsTo = num(0), w.now+dur(1)
-		w.troubled(dur(1) + 2*w.Lease)
-	case "reports-for-next-leader": // share, seconds
-		w.forNext, w.forNextTo = num(0), w.now+dur(1)
-		w.troubled(dur(1))
+	case "late-writes":
+		set(&w.lateWrites, &w.lateWritesTo, 12*time.Second)
+	case "answers-lost":
+		set(&w.answersLost, &w.answersLostTo, 0)
+	case "slow-store":
+		set(&w.slowStore, &w.slowStoreTo, 0)
+	case "slow-links":
+		set(&w.slowLinks, &w.slowLinksTo, 0)
+	case "late-reports":
+		set(&w.lateReports, &w.lateReportsTo, 2*w.Lease)
+	case "reports-for-next-leader":
+		set(&w.forNext, &w.forNextTo, 0)
 	case "cancel-now": // COUNT jobs that run and have long to go, seconds for which machines of theirs hang, perhaps how their ids begin
 		prefix := ""
 		if len(args) > 2 {
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -143,16 +143,21 @@
 	return append(faults, w.Broken...)
 }
 
-// verb runs one line of a script.
-func (w *World) verb(verb string, args []string) error {
-	num := func(i int) float64 {
+// numbers reads a verb's arguments as numbers and as seconds; 0 where there are fewer.
+func numbers(args []string) (num func(int) float64, dur func(int) time.Duration) {
+	num = func(i int) float64 {
 		if i >= len(args) {
 			return 0
 		}
 		x, _ := strconv.ParseFloat(args[i], 64)
 		return x
 	}
-	dur := func(i int) time.Duration { return secs(num(i)) }
+	return num, func(i int) time.Duration { return secs(num(i)) }
+}
+
+// verb runs one line of a script.
+func (w *World) verb(verb string, args []string) error {
+	num, dur := numbers(args)
 	switch verb {
 	case "submit":
 		return w.submitLine(args)
