--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -15,7 +15,6 @@
 	dependents []int // jobs that wait on it
 	open       int   // needs that are not done
 	doomed     bool  // a job that it needs, directly or through others, is withdrawn
-	told       bool  // its dependents know that it is over
 	readyAt    Time  // when our copy first showed all its needs done; 0: not yet
 	readyMS    int64 // the same as time of day
 	dueMS      int64 // when it should be done, so that what needs it can be in time; 0: no matter
@@ -32,7 +31,7 @@
 
 func (j *job) ties() *chain {
 	if j.chain == nil {
-		j.chain = &chain{told: j.rec != nil && j.rec.State != wire.Live}
+		j.chain = &chain{}
 	}
 	return j.chain
 }
@@ -54,15 +53,17 @@
 		c := j.ties()
 		for _, ref := range sp.WaitsOn {
 			a := n.jobAt(ref)
-			up := a.ties()
-			up.dependents = append(up.dependents, j.ix)
 			c.needs = append(c.needs, a.ix)
-			if a.rec == nil || a.rec.State != wire.Done {
-				c.open++
+			if a.rec != nil && a.rec.State == wire.Done {
+				continue
 			}
+			c.open++
 			if a.rec != nil && a.state() == wire.Withdrawn {
 				n.doom(j)
+				continue
 			}
+			up := a.ties()
+			up.dependents = append(up.dependents, j.ix)
 		}
 		if c.open == 0 {
 			n.ready(j)
@@ -91,18 +92,21 @@
 // follows from how many they are.
 func (n *Node) over(j *job) {
 	c := j.chain
-	if c == nil || c.told || j.rec.State == wire.Live {
+	if c == nil || j.rec.State == wire.Live {
 		return
 	}
-	c.told = true
 	for _, ix := range c.dependents {
 		d := n.jobs[ix]
+		if d.chain == nil {
+			continue // it is over itself
+		}
 		if j.rec.State == wire.Withdrawn {
 			n.doom(d)
 		} else if d.chain.open--; d.chain.open == 0 {
 			n.ready(d)
 		}
 	}
+	j.chain = nil // finished jobs are kept for ever, and are very many
 }
 
 // doom marks a job, and all that need it, as withdrawn with one that they need.
@@ -110,7 +114,7 @@
 	for list := []*job{j}; len(list) > 0; {
 		j, list = list[len(list)-1], list[:len(list)-1]
 		c := j.chain
-		if c.doomed || j.rec != nil && j.rec.State != wire.Live {
+		if c == nil || c.doomed || j.rec != nil && j.rec.State != wire.Live {
 			continue
 		}
 		c.doomed = true
@@ -161,7 +165,7 @@
 		start := c.dueMS - int64(sp.ExpectedS*1000) - n.cfg.Report.Milliseconds()
 		for _, ix := range c.needs {
 			a := n.jobs[ix]
-			if a.rec != nil && a.rec.State != wire.Live {
+			if a.chain == nil || a.rec != nil && a.rec.State != wire.Live {
 				continue
 			}
 			more := false
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -238,3 +238,25 @@
 		}
 	}
 }
+
+// What is over keeps nothing of its chain: finished jobs are kept for ever. Those that
+// come later and name them, or were withdrawn before what they needed ended, do no harm.
+func TestFinishedJobsKeepNoChain(t *testing.T) {
+	n := chained()
+	see(n, 2, "wk-000001", wire.Live, nil)
+	see(n, 3, "wk-000002", wire.Live, nil, "wk-000001")
+	see(n, 4, "wk-000003", wire.Live, nil, "wk-000001", "wk-000002")
+	see(n, 5, "wk-000002", wire.Withdrawn, nil)
+	see(n, 6, "wk-000001", wire.Done, nil)
+	see(n, 7, "wk-000003", wire.Withdrawn, nil)
+	see(n, 8, "wk-000004", wire.Live, nil, "wk-000001")
+	see(n, 9, "wk-000005", wire.Live, nil, "wk-000002")
+	for i := range 3 {
+		if n.jobs[i].chain != nil {
+			t.Errorf("%s keeps %+v", n.jobs[i].ref, n.jobs[i].chain)
+		}
+	}
+	if n.jobs[3].waits() || !n.jobs[4].waits() || n.jobs[4].state() != wire.Withdrawn {
+		t.Errorf("%+v, %+v", n.jobs[3].chain, n.jobs[4].chain)
+	}
+}
