--- a/internal/world/scenario_test.go
+++ b/internal/world/scenario_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/tools/txtar"
 )
@@ -67,3 +68,40 @@
 		}
 	}
 }
+
+// While one-task jobs come four a second and puts are few, acceptances get theirs
+// first: with all puts for grants and ends a submission waited for a second.
+func TestOneTaskJobsAreAcceptedAtOnce(t *testing.T) {
+	a, err := txtar.ParseFile("../../testdata/scenarios/one-task-jobs.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Defaults()
+	script := ""
+	for _, f := range a.Files {
+		switch f.Name {
+		case "world":
+			if err := s.read(string(f.Data)); err != nil {
+				t.Fatal(err)
+			}
+		case "script":
+			script = string(f.Data)
+		}
+	}
+	w := New(s, func(string, ...any) {})
+	slowest := time.Duration(0)
+	w.every(50*time.Millisecond, func() {
+		for _, u := range w.order {
+			// Until the leader ends, at 70 s; the first machines boot until 30 s.
+			if !u.accepted && u.since > 30*time.Second && w.now < 70*time.Second {
+				slowest = max(slowest, w.now-u.since)
+			}
+		}
+	})
+	if faults := w.script(script); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if slowest > 500*time.Millisecond {
+		t.Errorf("a job was accepted after %v", slowest)
+	}
+}
