--- a/internal/ci/main.go
+++ b/internal/ci/main.go
@@ -99,7 +99,8 @@
 }
 
 // verdict gathers what the tests did. What packages print is passed on, and what
-// tests print once they have failed.
+// tests print once they have failed or were skipped: a skipped test proves nothing,
+// so it must not go unnoticed.
 type verdict struct {
 	out    io.Writer
 	said   map[string][]string
@@ -124,6 +125,8 @@
 		if !slices.ContainsFunc(v.failed, func(t string) bool { return strings.HasPrefix(t, e.Package+".") }) {
 			v.broken = append(v.broken, e.Package)
 		}
+	case e.Action == "skip" && e.Test != "":
+		fmt.Fprintf(v.out, "NOT RUN: %s\n%s", e.name(), strings.Join(v.said[e.name()], ""))
 	case e.Action == "fail":
 		v.failed = append(v.failed, e.name())
 		fmt.Fprint(v.out, strings.Join(v.said[e.name()], ""))
--- a/internal/ci/main_test.go
+++ b/internal/ci/main_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// TestSkippedTestsArePrinted: a test that could not run is named, with its reason.
+func TestSkippedTestsArePrinted(t *testing.T) {
+	var out strings.Builder
+	v := verdict{out: &out}
+	v.take(event{Action: "output", Package: "p", Test: "TestA", Output: "the history is lacking\n"})
+	v.take(event{Action: "skip", Package: "p", Test: "TestA"})
+	if got, want := out.String(), "NOT RUN: p.TestA\nthe history is lacking\n"; got != want {
+		t.Errorf("printed %q, not %q", got, want)
+	}
+}
+
 func TestParseList(t *testing.T) {
 	list, err := parse("# none\n\np.TestA/x | a fault | 16\n")
 	if err != nil || len(list) != 1 || list[0] != (known{"p.TestA/x", "a fault", "16"}) {
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -101,9 +101,29 @@
 	"gob-useranswer": func() any { return new(userAnswer1) },
 }
 
+// format2 spells out the records in testdata/format2, which the first version that
+// serves chained jobs has written.
+func format2() map[string]any {
+	waiting := &Spec{Ref: "wk-000413", Class: "gi-solve", Team: "vision", Shape: "gang", Urgency: "standard", Frames: 4, Cores: 2, MemoryGB: 6.4,
+		Image: "img-08", ImageGB: 1, SameZone: true, ExpectedS: 20, CheckpointS: 20, SaveS: 4, DueS: 300, WaitsOn: []string{"wk-000398", "wk-000405"}}
+	array := &Spec{Ref: "wk-000414", Class: "proxy-mesh", Team: "vision", Shape: "array", Urgency: "low", Frames: 200, Cores: 1, MemoryGB: 3.2,
+		Image: "img-09", ImageGB: 1, Spot: true, ExpectedS: 25}
+	return map[string]any{
+		"job-waiting": &Job{Spec: waiting, Frames: 4, At: 1764640000123, Next: 1},
+		"job-continued": &Job{Spec: array, Frames: 200, At: 1764640000123, Next: 9, DoneSet: [][2]int{{0, 12}}, More: 2,
+			Active: Actives{{Task: 12, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2}}},
+		"continuation": &More{Active: Actives{{Task: 13, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2},
+			{Task: 14, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2}, {Task: 15, Attempt: 6, Part: 0, Host: "vm-000007", Session: 1, Stop: Abandon},
+			{Task: 16, Attempt: 8, Part: 2}}},
+		"continuation-empty": &More{},
+		"reads":              &Reads{Format: 2},
+	}
+}
+
+// fixture reads a file of testdata, such as format1/leader.
 func fixture(t *testing.T, name string) []byte {
 	t.Helper()
-	text, err := os.ReadFile("../../testdata/format1/" + name + ".hex")
+	text, err := os.ReadFile("../../testdata/" + name + ".hex")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +139,7 @@
 // records byte for byte, messages between controllers as gob's types go.
 func TestFormat1(t *testing.T) {
 	for name, want := range format1() {
-		b := fixture(t, name)
+		b := fixture(t, "format1/"+name)
 		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
 		if strings.HasPrefix(name, "gob-") {
 			if err := gob.NewDecoder(bytes.NewReader(b)).Decode(got); err != nil || !reflect.DeepEqual(got, want) {
@@ -139,12 +159,27 @@
 			}
 			continue
 		}
-		if err := Decode(b, got); err != nil || !reflect.DeepEqual(got, want) {
-			t.Errorf("%s: read as %+v, %v", name, got, err)
-		}
-		if ours, err := Encode(want); err != nil || !bytes.Equal(ours, b) {
-			t.Errorf("%s: not written as in format 1, %v", name, err)
-		}
+		checkRecord(t, name, b, want)
+	}
+}
+
+// Records of format 2 are read as they were meant and written byte for byte as the
+// first version that serves chained jobs writes them: it may run beside this one.
+func TestFormat2(t *testing.T) {
+	for name, want := range format2() {
+		checkRecord(t, name, fixture(t, "format2/"+name), want)
+	}
+}
+
+// checkRecord compares a record with its stored bytes, in both directions.
+func checkRecord(t *testing.T, name string, stored []byte, want any) {
+	t.Helper()
+	got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
+	if err := Decode(stored, got); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: read as %+v, %v", name, got, err)
+	}
+	if ours, err := Encode(want); err != nil || !bytes.Equal(ours, stored) {
+		t.Errorf("%s: written differently, %v", name, err)
 	}
 }
 
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -3,6 +3,7 @@
 // HostInfo is what the owner of a part tells the others about a machine. Names
 // other than its own are places in the message's list.
 type HostInfo struct {
+	//lint:ignore U1000 the MessagePack library reads the options in its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Rig      int
@@ -35,6 +36,7 @@
 
 // Hold says that an owner holds room for its tasks of a gang attempt.
 type Hold struct {
+	//lint:ignore U1000 the MessagePack library reads the options in its tag
 	_msgpack struct{} `msgpack:",omitempty"`
 	Ref      string
 	Attempt  uint64
@@ -44,6 +46,7 @@
 
 // Kept says that a machine is kept for a job.
 type Kept struct {
+	//lint:ignore U1000 the MessagePack library reads the options in its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Host     string
 	Ref      string
@@ -64,6 +67,7 @@
 // receiver says in Seen how far it has come, so that a message that was lost,
 // or a new process at either end, makes the sender tell more.
 type Gossip struct {
+	//lint:ignore U1000 the MessagePack library reads the options in its tag
 	_msgpack struct{} `msgpack:",omitempty"`
 	From     string
 	Life     string
--- /dev/null
+++ b/internal/wire/production_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// productionCommit is the version that deploy/service.toml says is in production.
+func productionCommit(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/service.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`(?m)^production = "([0-9a-f]{40})"$`).FindSubmatch(text)
+	if found == nil {
+		t.Fatal("deploy/service.toml names no production version")
+	}
+	return string(found[1])
+}
+
+// roundTrip is a program for the version in production: it reads records, one line of
+// key and hex each, as its controllers do, and prints them as they would write them.
+const roundTrip = `package main
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"micaport/internal/wire"
+)
+
+func main() {
+	lines := bufio.NewScanner(os.Stdin)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		key, text, _ := strings.Cut(lines.Text(), " ")
+		raw, err := hex.DecodeString(text)
+		if err != nil {
+			panic(err)
+		}
+		record, err := wire.DecodeRecord(key, raw)
+		if err != nil {
+			panic(err)
+		}
+		if record == nil {
+			fmt.Println("skipped")
+			continue
+		}
+		written, err := wire.Encode(record)
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(hex.EncodeToString(written))
+	}
+}
+`
+
+// What this version writes before its upgrade is complete is given to the version in
+// production itself, built from the repository's history: it reads every record and
+// would write the same bytes; keys of format 2 it skips. A checkout without that
+// history skips the test, which internal/ci prints.
+func TestProductionReadsOurRecords(t *testing.T) {
+	commit := productionCommit(t)
+	if err := exec.Command("git", "cat-file", "-e", commit+"^{commit}").Run(); err != nil {
+		t.Skipf("the history lacks the production version %s, so it could not be run: %v", commit, err)
+	}
+	dir := t.TempDir()
+	archive := filepath.Join(dir, "production.tar")
+	git := exec.Command("git", "-C", "../..", "archive", "--output", archive, commit, "go.mod", "go.sum", "internal/wire")
+	if out, err := git.CombinedOutput(); err != nil {
+		t.Fatalf("git archive: %v: %s", err, out)
+	}
+	if out, err := exec.Command("tar", "-xf", archive, "-C", dir).CombinedOutput(); err != nil {
+		t.Fatalf("tar: %v: %s", err, out)
+	}
+	program := filepath.Join(dir, "roundtrip")
+	if err := os.Mkdir(program, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(program, "main.go"), []byte(roundTrip), 0o644); err != nil {
+		t.Fatal(err)
+	}
+
+	keys := map[string]string{
+		"job-live": JobKey("wk-000412"), "job-done": JobKey("wk-000412"), "job-withdrawn": JobKey("wk-000412"), "part": PartKey("a-0"),
+		"leader": LeaderKey, "gang": GangKey("wk-000412", 3), "images": ImagePrefix + "stanok-0", "types": TypesKey, "room": RoomPrefix + "stanok-2",
+	}
+	var input bytes.Buffer
+	var want []string
+	records := format1()
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		raw, err := Encode(records[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := hex.EncodeToString(raw)
+		input.WriteString(keys[name] + " " + text + "\n")
+		want = append(want, text)
+	}
+	for _, key := range []string{MoreKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
+		input.WriteString(key + " 80\n")
+		want = append(want, "skipped")
+	}
+
+	run := exec.Command("go", "run", "./roundtrip")
+	run.Dir, run.Stdin = dir, &input
+	run.Env = append(os.Environ(), "GOWORK=off", "GOFLAGS=-mod=mod")
+	out, err := run.Output()
+	if err != nil {
+		t.Fatalf("the production version can't read our records: %v", err)
+	}
+	got := strings.Fields(string(out))
+	if !slices.Equal(got, want) {
+		t.Errorf("the production version writes\n%s\nnot\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
