Lists of needs that a record has no room for, in further keys; format 3

Such a list is written to further keys first, under a name that follows from its content, and the record that names it last. It is written only once every controller has left a record that it reads format 3; before that the submission is put off with 503. What one record holds is written as before, so controllers of format 2 may run beside this one.

Ruled out: lists that grow or change (two controllers given the same submission could mix theirs), and a transaction for all (four changes hold about 500 names).

Before: 422 beyond about 80 names.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -188,7 +188,7 @@
 	if n.storeOK || op.Forwarded || op.handed {
 		return false
 	}
-	if op.spec != nil && len(op.spec.WaitsOn) > 0 && !n.upgraded {
+	if op.spec != nil && len(op.spec.WaitsOn) > 0 && !n.writesChains() {
 		// A peer of the version before would take it for a job that waits on nothing.
 		n.later(op, notUpgraded)
 		return true
@@ -246,7 +246,7 @@
 		n.lookUp(op)
 		return
 	}
-	if len(s.WaitsOn) > 0 && !n.upgraded {
+	if len(s.WaitsOn) > 0 && !n.writesChains() {
 		n.later(op, notUpgraded)
 		return
 	}
@@ -264,16 +264,13 @@
 	// of the record whatever the user sends.
 	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.flavor(n.rigs.Find(name)) == nil })
 	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
-	if n.baseOf(rec)+2*(n.aRun()+wire.ListCost+rangeCost) > n.cfg.ValueBytes {
-		op.fault = errors.New("too large to be recorded: its names or the jobs that it waits on")
-		n.lookUp(op)
-		return
-	}
 	status := wire.StatusPending
 	if withdrawn {
 		// Withdrawn with what it names, before it could start.
 		rec.State, status = wire.Withdrawn, wire.StatusWithdrawn
 		tidy(rec)
+	} else if !n.fitRecord(op, rec) {
+		return // answered, or it comes back here
 	}
 	key := wire.JobKey(s.Ref)
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
@@ -291,6 +288,34 @@
 	})
 }
 
+// fitRecord makes a new job's record fit a value, if need be by writing what it waits
+// on to further keys first.
+func (n *Node) fitRecord(op *userOp, rec *wire.Job) bool {
+	if n.fitsValue(rec) {
+		return true
+	}
+	bare := *rec.Spec
+	bare.WaitsOn = nil
+	named := *rec
+	named.Spec, named.NeedsList, named.NeedsKeys = &bare, nameList(nil), wire.MaxFrames
+	switch {
+	case !n.fitsValue(&named):
+		op.fault = errors.New("its names are too long to be recorded")
+		n.lookUp(op)
+		return false
+	case !n.writesLongNeeds():
+		n.later(op, notUpgraded)
+		return false
+	}
+	return n.writeNeeds(op, rec)
+}
+
+// fitsValue tells whether a value holds a record and a few lists of active tasks.
+func (n *Node) fitsValue(rec *wire.Job) bool {
+	const lists = 2
+	return n.baseOf(rec)+lists*(n.aRun()+wire.ListCost+rangeCost) <= n.cfg.ValueBytes
+}
+
 // lookUp reads the record and goes on by the kind of request.
 func (n *Node) lookUp(op *userOp) {
 	id := n.id(func(in any) {
@@ -302,7 +327,7 @@
 				n.withdraw(op, g)
 				return
 			}
-			if g.Job.State == wire.Live && g.Job.Spec != nil && len(g.Job.Spec.WaitsOn) > 0 {
+			if g.Job.State == wire.Live && g.Job.Waits() {
 				n.answerFromAbove(op, g.Job)
 				return
 			}
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"fmt"
-
-	"micaport/internal/wire"
-)
+import "micaport/internal/wire"
 
 // chain is what ties a job to those that it waits on and to those that wait on it.
 // A job waits for all that it names to be done, which is final; so nothing of a job
@@ -48,10 +44,17 @@
 }
 
 // tie takes in what a job waits on, when its record is first seen.
-func (n *Node) tie(j *job, sp *wire.Spec) {
-	if len(sp.WaitsOn) > 0 {
+func (n *Node) tie(j *job) {
+	if j.rec.Waits() {
 		c := j.ties()
-		for _, ref := range sp.WaitsOn {
+		refs, complete := n.needsInRecord(j.ref, j.rec)
+		if !complete {
+			// The list is written before the record that names it, so this can't
+			// happen. If it does, the job must not start.
+			n.log(2, "a record lacks its list of needs", "job", j.ref)
+			c.open++
+		}
+		for _, ref := range refs {
 			a := n.jobAt(ref)
 			c.needs = append(c.needs, a.ix)
 			if a.rec != nil && a.rec.State == wire.Done {
@@ -210,136 +213,3 @@
 	}
 	return j.rec.At
 }
-
-// needed is what becomes of the jobs that a submission names.
-type needed struct {
-	asked  int             // reads under way
-	states map[string]int  // of those that our copy did not have
-	daemon map[string]bool // of those, services
-}
-
-// findNeeds finds out about the jobs that a submission names, and calls create again
-// once it knows. Those that our copy does not show may have been accepted a moment
-// ago by another controller, so they are read.
-func (n *Node) findNeeds(op *userOp) bool {
-	if op.needs == nil {
-		op.needs = &needed{states: map[string]int{}, daemon: map[string]bool{}}
-	}
-	for _, ref := range op.spec.WaitsOn {
-		if j := n.jobNamed(ref); j != nil && j.rec != nil {
-			continue
-		}
-		if _, read := op.needs.states[ref]; read {
-			continue
-		}
-		n.readNeed(op, ref)
-	}
-	return op.needs.asked == 0
-}
-
-// never marks a job that was never accepted.
-const never = -1
-
-func (n *Node) readNeed(op *userOp, ref string) {
-	op.needs.asked++
-	op.needs.states[ref] = wire.Live
-	id := n.id(func(in any) {
-		g := in.(GotJob)
-		n.storeHeard(g.Outcome)
-		op.needs.asked--
-		switch g.Outcome {
-		case OK:
-			op.needs.states[ref] = g.Job.State
-			op.needs.daemon[ref] = g.Job.Spec != nil && g.Job.Spec.Shape == wire.ShapeDaemon
-		case Missing:
-			op.needs.states[ref] = never
-		default:
-			delete(op.needs.states, ref)
-			if n.retry(op, g.Outcome) {
-				n.readNeed(op, ref)
-			}
-			return
-		}
-		if _, open := n.users.open[op.Req]; open && op.needs.asked == 0 {
-			n.create(op)
-		}
-	})
-	n.emit(Read{ID: id, Ref: ref})
-}
-
-// settleNeeds takes what is done out of what a job waits on, and tells whether one
-// of the rest is withdrawn, or why the job can't be taken.
-func (n *Node) settleNeeds(op *userOp) (withdrawn bool, fault error) {
-	var rest []string
-	for _, ref := range op.spec.WaitsOn {
-		state, known := op.needs.states[ref]
-		daemon := op.needs.daemon[ref]
-		if j := n.jobNamed(ref); j != nil && j.rec != nil {
-			state, known = j.state(), true
-			daemon = j.rec.Spec != nil && j.rec.Spec.Shape == wire.ShapeDaemon
-		}
-		switch {
-		case !known || state == never:
-			return false, fmt.Errorf("waits on %s, which was never accepted", ref)
-		case daemon && state == wire.Live:
-			return false, fmt.Errorf("waits on %s, which is a service", ref)
-		case state != wire.Done:
-			// Also what is withdrawn: the request may have to be made once more.
-			withdrawn = withdrawn || state == wire.Withdrawn
-			rest = append(rest, ref)
-		}
-	}
-	op.spec.WaitsOn = rest
-	return withdrawn, nil
-}
-
-// answerFromAbove answers for a job that is live by its own record but waits on
-// others, of which our copy may lag: they are read, up the chain, until one is found
-// withdrawn or all are known.
-func (n *Node) answerFromAbove(op *userOp, rec *wire.Job) {
-	seen := map[string]bool{}
-	var list []string
-	add := func(refs []string) {
-		for _, r := range refs {
-			if !seen[r] {
-				seen[r] = true
-				list = append(list, r)
-			}
-		}
-	}
-	add(rec.Spec.WaitsOn)
-	var next func()
-	next = func() {
-		for len(list) > 0 {
-			ref := list[len(list)-1]
-			list = list[:len(list)-1]
-			if j := n.jobNamed(ref); j != nil && j.rec != nil && j.state() != wire.Live {
-				if j.state() == wire.Withdrawn {
-					n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn})
-					return
-				}
-				continue // done is final
-			}
-			id := n.id(func(in any) {
-				g := in.(GotJob)
-				n.storeHeard(g.Outcome)
-				switch {
-				case g.Outcome == OK && g.Job.State == wire.Withdrawn:
-					n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn})
-				case g.Outcome == OK:
-					if g.Job.State == wire.Live && g.Job.Spec != nil {
-						add(g.Job.Spec.WaitsOn)
-					}
-					next()
-				case n.retry(op, g.Outcome):
-					list = append(list, ref)
-					next()
-				}
-			})
-			n.emit(Read{ID: id, Ref: ref})
-			return
-		}
-		n.answer(op, 200, status(op.Ref, rec))
-	}
-	next()
-}
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -15,7 +15,7 @@
 	n := New(Config{Self: "n0", Life: "x", Zone: "a", Members: members, Zones: []string{"a"}, Teams: []Team{{Name: "t"}},
 		Report: 4 * second, Lease: 30 * second, Validity: 23 * second, LeaderTTL: 5 * second, TxnOps: 12, ValueBytes: 8192, BatchPuts: 8,
 		WallMS: func() int64 { return 1_000_000 }})
-	n.Step(second, Changes{Reset: true, Rev: 1, Events: []Event{{Key: wire.FormatPrefix + "n0", Rev: 1, Value: &wire.Reads{Format: 2}}}})
+	n.Step(second, Changes{Reset: true, Rev: 1, Events: []Event{{Key: wire.FormatPrefix + "n0", Rev: 1, Value: &wire.Reads{Format: wire.Format}}}})
 	n.takeTypes([]wire.Flavor{{Name: "g", Cores: 8, Cards: 1, MemoryGB: 64, FetchGBs: 1, Price: 1, BootS: 10, Zones: []string{"a"}}})
 	return n
 }
@@ -149,7 +149,7 @@
 	}
 	// It never goes back.
 	n.Step(n.now+1, Changes{Rev: 10, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 10, Value: &wire.Reads{Format: 1}}}})
-	if !n.upgraded {
+	if !n.writesChains() {
 		t.Error("went back to the format before")
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -254,14 +254,16 @@
 	live     []int // jobs that are unfinished or still have tasks on machines
 	gangs    map[string]*gang
 	more     map[string]map[int]wire.Actives // active tasks in further keys, by job
-	doomed   []int                           // jobs below a withdrawn one, not yet recorded as such
-	reads    map[string]int                  // the format that each controller reads
-	upgraded bool                            // all read format 2
-	formatAt Time
-	shrunk   bool // no record is larger than the limits to come
-	types    []wire.Flavor
-	rigsAt   Time
-	rigRev   uint64
+	// Parts of lists of needs, by job and key, while the job's record is not taken in.
+	needsLists map[string]map[string][]string
+	doomed     []int          // jobs below a withdrawn one, not yet recorded as such
+	reads      map[string]int // the format that each controller reads
+	agreed     int            // the newest format that all controllers read
+	formatAt   Time
+	shrunk     bool // no record is larger than the limits to come
+	types      []wire.Flavor
+	rigsAt     Time
+	rigRev     uint64
 
 	// Names are mapped to indices where they come in.
 	zones, teams, rigs wire.Interner
@@ -351,7 +353,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg:     cfg,
-		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, more: map[string]map[int]wire.Actives{}, reads: map[string]int{}, peers: map[string]*peer{},
+		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, more: map[string]map[int]wire.Actives{}, needsLists: map[string]map[string][]string{}, reads: map[string]int{}, peers: map[string]*peer{},
 		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, kept: map[int]int{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
 	}
@@ -602,6 +604,9 @@
 func (n *Node) changeAll(events []Event) {
 	var last map[string]int
 	for i, e := range events {
+		if needs, is := e.Value.(*wire.Needs); is {
+			n.putNeeds(e.Key, needs) // in a listing it comes after the record
+		}
 		if !strings.HasPrefix(e.Key, wire.MorePrefix) {
 			continue
 		}
@@ -627,7 +632,9 @@
 	case *wire.Reads:
 		n.takeFormat(e.Key[len(wire.FormatPrefix):], v)
 	case *wire.Job:
-		n.putJob(e.Key[len(wire.JobPrefix):], v, e.Rev)
+		ref := e.Key[len(wire.JobPrefix):]
+		n.putJob(ref, v, e.Rev)
+		delete(n.needsLists, ref)
 	case *wire.Part:
 		if p := n.partNamed(e.Key); p != nil {
 			n.putPart(p, v, e.Rev)
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -13,7 +13,7 @@
 
 // formatWrites is the record of what we read, until our copy shows it.
 func (n *Node) formatWrites() []Write {
-	if n.cfg.Format < 2 || n.reads[n.cfg.Self] >= n.cfg.Format {
+	if n.cfg.Format < wire.FormatChains || n.reads[n.cfg.Self] >= n.cfg.Format {
 		return nil
 	}
 	return []Write{{Key: wire.FormatPrefix + n.cfg.Self, Value: &wire.Reads{Format: n.cfg.Format}}}
@@ -36,19 +36,25 @@
 // takeFormat learns what a controller reads.
 func (n *Node) takeFormat(label string, r *wire.Reads) {
 	n.reads[label] = max(n.reads[label], r.Format)
-	if n.upgraded || n.cfg.Format < 2 {
-		return
-	}
+	agreed := n.cfg.Format
 	for _, m := range n.cfg.Members {
-		if n.reads[m.Label] < 2 {
-			return
-		}
+		agreed = min(agreed, n.reads[m.Label])
 	}
-	n.upgraded = true
-	n.log(1, "all controllers read format 2")
+	if agreed <= n.agreed {
+		return
+	}
+	n.agreed = agreed
+	n.log(1, "all controllers read a format", "format", agreed)
 	for _, jx := range n.live {
 		if j := n.jobs[jx]; j.rec.Spec != nil {
 			n.measure(j)
 		}
 	}
 }
+
+// writesChains tells whether records may hold what jobs wait on, and go on in
+// further keys.
+func (n *Node) writesChains() bool { return n.agreed >= wire.FormatChains }
+
+// writesLongNeeds tells whether what jobs wait on may stand in further keys.
+func (n *Node) writesLongNeeds() bool { return n.agreed >= wire.FormatLongNeeds }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -87,7 +87,7 @@
 	}
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
-		if n.loaded && len(rec.Spec.WaitsOn) == 0 {
+		if n.loaded && !rec.Waits() {
 			n.noteArrival(j)
 		}
 	}
@@ -136,7 +136,7 @@
 	for _, name := range sp.Rigs {
 		j.rigs.add(n.rigs.Of(name))
 	}
-	n.tie(j, sp)
+	n.tie(j)
 }
 
 // allows tells whether a job's tasks may run on a kind of machine at a place.
--- a/internal/core/more.go
+++ b/internal/core/more.go
@@ -18,7 +18,7 @@
 // moreKeys is how many further keys the leader plans with. A grant changes the
 // record, the key of a gang perhaps, and these.
 func (n *Node) moreKeys() int {
-	if !n.upgraded {
+	if !n.writesChains() {
 		return 0
 	}
 	return max(0, min(enoughBytes/n.cfg.ValueBytes-1, n.cfg.TxnOps-2))
@@ -31,7 +31,7 @@
 // are about, their records may be as large as the present limit allows, and are
 // to be written all the same.
 func (n *Node) valueBytes() int {
-	if !n.upgraded {
+	if !n.writesChains() {
 		return max(n.cfg.ValueBytes, n.cfg.ValueNow)
 	}
 	return n.cfg.ValueBytes
@@ -91,7 +91,7 @@
 		return n.cfg.ValueBytes - moreFrame
 	}
 	l := rec.Active
-	if !n.upgraded || len(l) == 0 || wasMore == 0 && l.Cost() <= room(1) {
+	if !n.writesChains() || len(l) == 0 || wasMore == 0 && l.Cost() <= room(1) {
 		for i := range l {
 			l[i].In = 1
 		}
@@ -195,7 +195,8 @@
 // baseOf bounds what a record takes without its lists, in the form in which values
 // are measured.
 func (n *Node) baseOf(rec *wire.Job) int {
-	bare := wire.Job{Spec: rec.Spec, State: rec.State, Frames: rec.Frames, At: rec.At, Next: rec.Next + 1000, Errors: rec.Errors + 100, Avoid: rec.Avoid, More: 10}
+	bare := wire.Job{Spec: rec.Spec, State: rec.State, Frames: rec.Frames, At: rec.At, Next: rec.Next + 1000, Errors: rec.Errors + 100, Avoid: rec.Avoid, More: 10,
+		NeedsList: rec.NeedsList, NeedsKeys: rec.NeedsKeys}
 	size, err := wire.JSONSize(&bare)
 	if err != nil {
 		return 2000
@@ -218,7 +219,7 @@
 // shrinkRecords rewrites what the earlier version has left larger than the limits
 // that are to come, while it still can be written at all.
 func (n *Node) shrinkRecords(w *writer) {
-	if !n.upgraded || n.shrunk {
+	if !n.writesChains() || n.shrunk {
 		return
 	}
 	n.shrunk = true
--- a/internal/core/more_test.go
+++ b/internal/core/more_test.go
@@ -16,7 +16,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	n := New(Config{Self: "n0", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, TxnOps: 4, ValueBytes: 2048, ValueNow: 8192,
 		WallMS: func() int64 { return 0 }})
-	n.upgraded = true
+	n.agreed = wire.Format
 	if n.moreKeys() != 2 {
 		t.Fatalf("%d further keys, not 2", n.moreKeys())
 	}
@@ -89,7 +89,7 @@
 func TestSpreadOfALargeRecord(t *testing.T) {
 	n := New(Config{Self: "n0", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, TxnOps: 4, ValueBytes: 2048, ValueNow: 8192,
 		WallMS: func() int64 { return 0 }})
-	n.upgraded = true
+	n.agreed = wire.Format
 	rec := &wire.Job{Spec: &wire.Spec{Ref: "wk-000001", Frames: 100}, Frames: 100, Next: 101}
 	for i := range 100 {
 		rec.Active = append(rec.Active, wire.Active{Task: i, Attempt: uint64(i + 1), Host: fmt.Sprintf("vm-%06d", i), Session: 1, In: 1})
--- /dev/null
+++ b/internal/core/needs_test.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"micaport/internal/wire"
+)
+
+// smallValues is a controller whose records hold few names.
+func smallValues(members ...Member) *Node {
+	n := chained(members...)
+	n.cfg.ValueBytes, n.cfg.TxnOps = 2048, 4
+	return n
+}
+
+// manyNeeds makes jobs that a submission names, and shows them to a controller.
+func manyNeeds(n *Node, count int) (refs []string) {
+	for i := range count {
+		ref := fmt.Sprintf("wk-%06d", 1000+i)
+		see(n, 10+i, ref, wire.Live, nil)
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
+// changesOf makes the events by which a watch shows writes.
+func changesOf(rev int, writes []Write) Changes {
+	var events []Event
+	for i, w := range writes {
+		events = append(events, Event{Key: w.Key, Rev: uint64(rev + i), Value: w.Value})
+	}
+	return Changes{Rev: uint64(rev + len(writes)), Events: events}
+}
+
+// A job may wait on more jobs than its record has room for: they are written first, in
+// values and transactions within the limits, and the record last. Every controller then
+// knows all of them, also one that reads them in a listing, where the record comes first.
+func TestLongListOfNeeds(t *testing.T) {
+	const count = 900
+	n := smallValues()
+	refs := manyNeeds(n, count)
+	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", refs...)}, nil)
+	if r == nil || r.Status != 201 {
+		t.Fatalf("answered with %+v", r)
+	}
+	last, is := wrote[len(wrote)-1].Value.(*wire.Job)
+	if !is || last.NeedsKeys != len(wrote)-1 || last.NeedsKeys < 5 || len(last.Spec.WaitsOn) > 0 {
+		t.Fatalf("the record is %+v after %d writes", last, len(wrote))
+	}
+	for _, w := range wrote {
+		if size, err := wire.JSONSize(w.Value); err != nil || size > n.cfg.ValueBytes {
+			t.Errorf("%s takes %d bytes, %v", w.Key, size, err)
+		}
+	}
+
+	listing := append([]Write{wrote[len(wrote)-1]}, wrote[:len(wrote)-1]...)
+	for name, order := range map[string][]Write{"watch": wrote, "listing": listing} {
+		other := smallValues()
+		manyNeeds(other, count)
+		other.Step(other.now+1, changesOf(2000, order))
+		j := other.jobNamed("wk-000100")
+		if j.chain == nil || j.chain.open != count || len(other.needsLists) > 0 {
+			t.Fatalf("%s: %d needs are open, %d lists are kept", name, j.chain.open, len(other.needsLists))
+		}
+		for i, ref := range refs[:count-1] {
+			see(other, 3000+i, ref, wire.Done, nil)
+		}
+		if !j.waits() {
+			t.Errorf("%s: it waits no more though one need is not done", name)
+		}
+		see(other, 5000, refs[count-1], wire.Withdrawn, nil)
+		if j.state() != wire.Withdrawn {
+			t.Errorf("%s: it goes on below a withdrawn job", name)
+		}
+	}
+}
+
+// A list that was written only in part, when the service refused more, is gone on with
+// when the user submits again, and nothing is accepted before it is complete.
+func TestLongListIsContinued(t *testing.T) {
+	n := smallValues()
+	refs := manyNeeds(n, 900)
+	submit := func(req uint64, allowed int) (reply *Reply, wrote []Write) {
+		inputs := []any{any(UserRequest{Req: req, Kind: "submit", Body: submission("wk-000100", refs...)})}
+		for len(inputs) > 0 {
+			in := inputs[0]
+			inputs = inputs[1:]
+			for _, e := range n.Step(n.now+1, in) {
+				switch x := e.(type) {
+				case Commit:
+					if x.Class != User || len(x.Writes) == 0 {
+						continue
+					}
+					if len(x.Writes) > n.cfg.TxnOps {
+						t.Errorf("%d changes in a transaction", len(x.Writes))
+					}
+					if allowed--; allowed < 0 {
+						inputs = append(inputs, Committed{ID: x.ID, Outcome: Refused, Limited: true})
+						continue
+					}
+					wrote = append(wrote, x.Writes...)
+					inputs = append(inputs, changesOf(2000+len(wrote), x.Writes), Committed{ID: x.ID, Outcome: OK})
+				case Reply:
+					reply = &x
+				}
+			}
+		}
+		return reply, wrote
+	}
+	reply, first := submit(1, 1)
+	if reply == nil || reply.Status != 503 || len(first) != n.cfg.TxnOps {
+		t.Fatalf("answered with %+v after %d writes", reply, len(first))
+	}
+	reply, rest := submit(2, 100)
+	if reply == nil || reply.Status != 201 {
+		t.Fatalf("answered with %+v", reply)
+	}
+	written := map[string]bool{}
+	for _, w := range append(first, rest...) {
+		if written[w.Key] {
+			t.Errorf("%s was written twice", w.Key)
+		}
+		written[w.Key] = true
+	}
+	if record := rest[len(rest)-1].Value.(*wire.Job); len(written) != record.NeedsKeys+1 {
+		t.Errorf("%d keys, not %d", len(written), record.NeedsKeys+1)
+	}
+}
+
+// Before every controller reads such lists none is written: the submission is put off,
+// while one that its record has room for is taken.
+func TestNoLongListBeforeAllReadIt(t *testing.T) {
+	n := smallValues(Member{"n0", "a"}, Member{"n1", "a"})
+	reads := func(rev uint64, label string, format int) {
+		n.Step(n.now+1, Changes{Rev: rev, Events: []Event{{Key: wire.FormatPrefix + label, Rev: rev, Value: &wire.Reads{Format: format}}}})
+	}
+	reads(5, "n0", wire.Format)
+	reads(6, "n1", wire.FormatChains)
+	refs := manyNeeds(n, 300)
+	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", refs...)}, nil)
+	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 {
+		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
+	}
+	r, wrote = settle(n, UserRequest{Req: 2, Kind: "submit", Body: submission("wk-000101", refs[:5]...)}, nil)
+	if r == nil || r.Status != 201 || len(wrote) != 1 {
+		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
+	}
+	reads(2000, "n1", wire.Format)
+	if r, _ = settle(n, UserRequest{Req: 3, Kind: "submit", Body: submission("wk-000100", refs...)}, nil); r == nil || r.Status != 201 {
+		t.Errorf("answered with %+v", r)
+	}
+}
+
+// A repeated submission of a job with a long list that our copy does not show can't be
+// answered from the jobs above: it is put off, not called pending.
+func TestUnknownListIsNotAnswered(t *testing.T) {
+	n := smallValues()
+	stored := map[string]*wire.Job{"wk-000100": {Frames: 1, Spec: &wire.Spec{Shape: wire.ShapeArray}, NeedsList: "x", NeedsKeys: 2}}
+	r, _ := settle(n, UserRequest{Req: 1, Kind: "submit", Body: []byte{0x81, 0xa3, 'r', 'e', 'f', 0xa9, 'w', 'k', '-', '0', '0', '0', '1', '0', '0'}}, stored)
+	if r == nil || r.Status != 503 || r.RetryS == 0 {
+		t.Errorf("answered with %+v", r)
+	}
+}
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -22,13 +22,17 @@
 	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, ended: map[taskKey]bool{}, tries: map[int]uint64{}, limit: limit}
 }
 
+// maxTransactionBytes is what we put into one transaction, well below the service's
+// 64 KiB, as sizes are estimates.
+const maxTransactionBytes = 48_000
+
 // job gives a copy of the record to change, or nil when the commit is full.
 func (w *writer) job(j *job) *wire.Job {
 	if r := w.recs[j.ix]; r != nil {
 		return r
 	}
 	size := max(900, j.base) + recordCost(j.rec.Active, j.rec.DoneSet)
-	if len(w.order)+len(w.extra) >= w.limit || w.bytes+size > 48_000 {
+	if len(w.order)+len(w.extra) >= w.limit || w.bytes+size > maxTransactionBytes {
 		return nil
 	}
 	w.bytes += size
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -22,13 +22,19 @@
 	// Since format 2:
 	MorePrefix   = "m/x/"
 	FormatPrefix = "m/f/"
-	LeaderKey    = "m/leader"
-	TypesKey     = "m/types"
+	// Since format 3:
+	NeedsPrefix = "m/n/"
+	LeaderKey   = "m/leader"
+	TypesKey    = "m/types"
 )
 
-// Format is what this version reads and, once all controllers do, writes: see
-// "Two versions side by side" in docs/design.md.
-const Format = 2
+// Formats of the records. What a format adds is written only once every controller
+// reads it: see "Two versions side by side" in docs/design.md.
+const (
+	FormatChains    = 2 // jobs that wait on others; further keys for active tasks
+	FormatLongNeeds = 3 // further keys for the jobs that a job waits on
+	Format          = FormatLongNeeds
+)
 
 // Final and live states of a job record.
 const (
@@ -56,6 +62,21 @@
 	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
 	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
 	More    int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
+
+	// Where the record has no room for the jobs that it waits on, they stand in
+	// further keys, which are complete before the record is written and never change.
+	NeedsList string `msgpack:"nl,omitempty"` // the name of the list in their keys; format 3
+	NeedsKeys int    `msgpack:"nk,omitempty"` // how many keys, from 1 on; format 3
+}
+
+// Waits tells whether the job was submitted to wait on others.
+func (j *Job) Waits() bool {
+	return j.NeedsList != "" || j.Spec != nil && len(j.Spec.WaitsOn) > 0
+}
+
+// Needs is a part of a list of jobs that a job waits on.
+type Needs struct {
+	Refs []string `msgpack:"w"`
 }
 
 // More continues the active tasks of a job where one value is too small. A
@@ -128,6 +149,17 @@
 	return ref, k
 }
 
+// NeedsKey is the key of a part of a list of jobs that a job waits on.
+func NeedsKey(ref, list string, part int) string {
+	return NeedsPrefix + ref + "/" + list + "/" + strconv.Itoa(part)
+}
+
+// NeedsJob is the job that a key made by NeedsKey belongs to.
+func NeedsJob(key string) string {
+	ref, _, _ := strings.Cut(strings.TrimPrefix(key, NeedsPrefix), "/")
+	return ref
+}
+
 // GangKey is the key of a gang attempt's record.
 func GangKey(ref string, attempt uint64) string {
 	return GangPrefix + ref + "/" + strconv.FormatUint(attempt, 10)
@@ -207,6 +239,8 @@
 		v = new(More)
 	case strings.HasPrefix(key, FormatPrefix):
 		v = new(Reads)
+	case strings.HasPrefix(key, NeedsPrefix):
+		v = new(Needs)
 	case key == LeaderKey:
 		v = new(Leader)
 	case key == TypesKey:
--- a/internal/world/chains.go
+++ b/internal/world/chains.go
@@ -78,3 +78,29 @@
 		})
 	}
 }
+
+// fanIn has a user submit a number of small jobs at once and, as soon as all are
+// accepted, one that waits on every one of them.
+func (w *World) fanIn(ref string, count int, attributes []string) error {
+	var needs []string
+	for range count {
+		w.bulk++
+		need := fmt.Sprintf("wk-%06d", 700000+w.bulk)
+		needs = append(needs, need)
+		if err := w.submitLine([]string{need, "frames=1", "run=4", "cards=0", "cores=0.2", "mem=0.5", "gb=0.3", "class=part"}); err != nil {
+			return err
+		}
+	}
+	var submit func()
+	submit = func() {
+		for _, need := range needs {
+			if !w.users[need].accepted {
+				w.after(100*time.Millisecond, submit)
+				return
+			}
+		}
+		must(w.submitLine(append([]string{ref, "after=" + strings.Join(needs, ",")}, attributes...)))
+	}
+	submit()
+	return nil
+}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -95,8 +95,8 @@
 			s.NextTxnOps = int(num())
 		case "next_value_bytes":
 			s.NextValueBytes = int(num())
-		case "version":
-			s.Old = f[1] == "old"
+		case "old_format":
+			s.OldFormat = int(num())
 		default:
 			return fmt.Errorf("unknown setting %s", f[0])
 		}
@@ -254,6 +254,8 @@
 				}
 			})
 		}
+	case "fan-in": // REF waits on COUNT small jobs, which come first; with attributes
+		return w.fanIn(args[0], int(num(1)), args[2:])
 	case "meter": // count from here on
 		w.meter = meter{since: w.now, work: w.work()}
 	case "expect":
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -38,7 +38,7 @@
 	NextWriteRPS   float64
 	NextTxnOps     int
 	NextValueBytes int
-	Old            bool // controllers begin with the version before
+	OldFormat      int // that controllers read at first, until they are replaced; 0: the newest
 }
 
 // Defaults are those of a small deployment.
@@ -150,7 +150,7 @@
 	w.cloud = newCloud(w)
 	for i, z := range s.Nodes {
 		n := &node{w: w, ix: i, label: fmt.Sprintf("n%d", i), zone: z, drift: 1 + 0.0005*float64(i)/float64(len(s.Nodes))}
-		n.old = s.Old
+		n.old = s.OldFormat > 0
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
@@ -277,8 +277,9 @@
 		return now
 	}
 	if n.old {
-		cfg.Format = 1
-	} else {
+		cfg.Format = w.OldFormat
+	}
+	if cfg.Format != 1 { // format 1 knows of no limits to come
 		cfg.ValueNow, cfg.ValueBytes = cfg.ValueBytes, least(cfg.ValueBytes, w.NextValueBytes)
 		cfg.TxnOps, cfg.NextWriteRPS = least(cfg.TxnOps, w.NextTxnOps), w.NextWriteRPS
 	}
