Room is planned ahead of a stage, and estimates are corrected by run times seen

Cause: the next stage of a chain looked for room, and had machines hired, only once the last job that it needs was done; and by when a stage has to begin was taken from estimates that are often wrong by half.

The leader now plans room for a stage whose needs will probably end before a machine hired now is up, as it does for what will probably come, and multiplies estimates by the median of what the last jobs of the class took. Both live in the leader's memory: no bytes change.

--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -165,7 +165,7 @@
 		if own := j.rec.At + int64(sp.DueS*1000); sp.DueS > 0 && (c.dueMS == 0 || own < c.dueMS) {
 			c.dueMS = own
 		}
-		start := c.dueMS - int64(sp.ExpectedS*1000) - n.cfg.Report.Milliseconds()
+		start := c.dueMS - n.runTime(sp).Milliseconds() - n.cfg.Report.Milliseconds()
 		for _, ix := range c.needs {
 			a := n.jobs[ix]
 			if a.chain == nil || a.rec != nil && a.rec.State != wire.Live {
@@ -199,11 +199,11 @@
 }
 
 // startMS is by when a job of a chain has to begin to be in time; 0: no matter.
-func (j *job) startMS() int64 {
+func (n *Node) startMS(j *job) int64 {
 	if j.chain == nil || j.chain.dueMS == 0 {
 		return 0
 	}
-	return j.chain.dueMS - int64(j.rec.Spec.ExpectedS*1000)
+	return j.chain.dueMS - n.runTime(j.rec.Spec).Milliseconds()
 }
 
 // sinceMS is since when a job could run.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -299,6 +299,7 @@
 	usersAt     Time
 	puts        purse
 	arrivals    []*arrivals
+	runTimes    runTimes
 	countedFrom Time   // since when arrivals are counted; 0: not yet
 	work        uint64 // machines looked at so far
 	roomAt      Time
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -68,6 +68,9 @@
 		if rec == nil || rec.State != wire.Live {
 			n.noteEnd(j.rec)
 		}
+		if rec != nil && rec.State == wire.Done && j.rec.State == wire.Live {
+			n.noteRunTime(j, j.rec)
+		}
 	}
 	if rec != nil && rec.State != wire.Live && len(rec.Active) == 0 && len(rec.DoneSet) == 0 {
 		rec = n.sameFinished(rec)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -317,6 +317,7 @@
 		n.leader.kept = p.kept
 		n.gossip(true)
 	}
+	p.planStages()
 	p.keepReserve()
 	// What fills spare room must not claim the puts that others need.
 	left += (p.serveQueues(spares) - left) / sparesShare
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -19,6 +19,7 @@
 	noRoom, noSoon, noHope bool
 	parts                  []int // its tasks by part, as planned so far
 	runs                   int   // how many runs of tasks its record has room for
+	startBy                int64 // by when it has to begin, see Node.startBy
 }
 
 // teamQueue is the queue of one team.
@@ -57,7 +58,7 @@
 		if j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity()) && (!j.bulk || n.now-j.grantedAt < placingTime) {
 			continue
 		}
-		w := &want{j: j, within: j.within, runs: len(j.rec.Active) + j.rec.Frames}
+		w := &want{j: j, within: j.within, startBy: n.startBy(j), runs: len(j.rec.Active) + j.rec.Frames}
 		if sp.Shape == wire.ShapeGang {
 			if len(j.rec.Active) > 0 {
 				continue // the old attempt is not gone yet
@@ -87,14 +88,16 @@
 			// small jobs, which need one each, it would never come.
 			// Among equals the stages of a chain go by when they have to begin to
 			// be in time, before what has no such time.
-			return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.startBy(), b.startBy()), b2i(b.j.bulk)-b2i(a.j.bulk))
+			return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.startBy, b.startBy), b2i(b.j.bulk)-b2i(a.j.bulk))
 		})
 	}
 	return out
 }
 
-func (w *want) startBy() int64 {
-	if ms := w.j.startMS(); ms != 0 {
+// startBy is by when a job of a chain has to begin to be in time, as time of day in
+// milliseconds; what has no such time comes last.
+func (n *Node) startBy(j *job) int64 {
+	if ms := n.startMS(j); ms != 0 {
 		return ms
 	}
 	return math.MaxInt64
