--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -101,6 +101,6 @@
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: lease, MaxHeaderBytes: 8 << 10,
-		ConnState: newCrowd(room - max(1, room/16)).note,
+		ConnState: newConnLimiter(room - max(1, room/16)).stateChanged,
 	}
 }
--- a/internal/api/connlimit.go
+++ b/internal/api/connlimit.go
@@ -7,45 +7,45 @@
 	"sync"
 )
 
-// crowd keeps the open connections below a number by closing idle ones.
-type crowd struct {
+// connLimiter keeps the open connections below a number by closing idle ones.
+type connLimiter struct {
 	mu   sync.Mutex
-	most int
+	limit int
 	open int
 	idle *list.List // connections, the one that has been idle longest first
-	at   map[net.Conn]*list.Element
+	byConn   map[net.Conn]*list.Element
 }
 
-func newCrowd(most int) *crowd {
-	return &crowd{most: most, idle: list.New(), at: map[net.Conn]*list.Element{}}
+func newConnLimiter(most int) *connLimiter {
+	return &connLimiter{limit: most, idle: list.New(), byConn: map[net.Conn]*list.Element{}}
 }
 
-// note is told by the server of every change of a connection.
-func (c *crowd) note(conn net.Conn, s http.ConnState) {
-	if old := c.change(conn, s); old != nil {
+// stateChanged is told by the server of every change of a connection.
+func (c *connLimiter) stateChanged(conn net.Conn, s http.ConnState) {
+	if old := c.track(conn, s); old != nil {
 		old.Close()
 	}
 }
 
-// change takes the new state and names a connection to be closed, or nil.
-func (c *crowd) change(conn net.Conn, s http.ConnState) net.Conn {
+// track takes the new state and names a connection to be closed, or nil.
+func (c *connLimiter) track(conn net.Conn, s http.ConnState) net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.at[conn]; e != nil {
+	if e := c.byConn[conn]; e != nil {
 		c.idle.Remove(e)
-		delete(c.at, conn)
+		delete(c.byConn, conn)
 	}
 	switch s {
 	case http.StateNew:
 		c.open++
-		if first := c.idle.Front(); c.open > c.most && first != nil {
+		if first := c.idle.Front(); c.open > c.limit && first != nil {
 			old := first.Value.(net.Conn)
 			c.idle.Remove(first)
-			delete(c.at, old)
+			delete(c.byConn, old)
 			return old
 		}
 	case http.StateIdle:
-		c.at[conn] = c.idle.PushBack(conn)
+		c.byConn[conn] = c.idle.PushBack(conn)
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 	}
--- a/internal/api/connlimit_test.go
+++ b/internal/api/connlimit_test.go
@@ -9,14 +9,14 @@
 // Near the limit of sockets the connection that has been idle longest makes
 // way, never one that is being served.
 func TestLongestIdleMakesWay(t *testing.T) {
-	c := newCrowd(3)
+	c := newConnLimiter(3)
 	conns := make([]net.Conn, 6)
 	for i := range conns {
 		conns[i], _ = net.Pipe()
 	}
 	expect := func(i int, s http.ConnState, want net.Conn) {
 		t.Helper()
-		if got := c.change(conns[i], s); got != want {
+		if got := c.track(conns[i], s); got != want {
 			t.Errorf("connection %d, %v: closes %v, want %v", i, s, got, want)
 		}
 	}
@@ -32,7 +32,7 @@
 	expect(4, http.StateNew, nil) // nobody is idle
 	expect(1, http.StateIdle, nil)
 	expect(5, http.StateNew, conns[1])
-	if c.open != 5 || c.idle.Len() != 0 || len(c.at) != 0 {
+	if c.open != 5 || c.idle.Len() != 0 || len(c.byConn) != 0 {
 		t.Errorf("%d open, %d idle", c.open, c.idle.Len())
 	}
 }
