--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -360,9 +360,9 @@
 	tidy(rec)
 	// What its further keys hold is not known here and stays.
 	for i := range rec.Active {
-		rec.Active[i].In = 1
+		rec.Active[i].StoredIn = 1
 	}
-	writes := n.spread(op.Ref, rec.Active, rec.More, rec.More, rec)
+	writes := n.splitRecord(op.Ref, rec.Active, rec.Continuations, rec.Continuations, rec)
 	n.commit(User, []Cond{{wire.JobKey(op.Ref), g.Rev}}, writes, func(c Committed) {
 		switch c.Outcome {
 		case OK:
--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -88,7 +88,7 @@
 // ready tells whether a new batch may be made, and resends an unsure one.
 func (b *batch) ready(n *Node) bool {
 	if !b.active {
-		return n.now >= b.retryAt && n.mayPut() >= 1
+		return n.now >= b.retryAt && n.availableWrites() >= 1
 	}
 	if !b.waiting && b.until == 0 && n.now >= b.retryAt {
 		b.send(n)
@@ -118,10 +118,10 @@
 
 // recordOf is the key of the record that a key belongs to.
 func recordOf(key string) string {
-	if !strings.HasPrefix(key, wire.MorePrefix) {
+	if !strings.HasPrefix(key, wire.ContinuationPrefix) {
 		return key
 	}
-	ref, _ := wire.SplitMore(key)
+	ref, _ := wire.SplitContinuation(key)
 	return wire.JobKey(ref)
 }
 
--- a/internal/core/bulk.go
+++ b/internal/core/bulk.go
@@ -33,7 +33,7 @@
 // forLists is what the lists of a bulk job may take, in all its keys. In each some
 // room is left that no run fits.
 func (n *Node) forLists(j *job) int {
-	return max(100, n.valueBytes()-j.base+n.moreKeys()*(n.cfg.ValueBytes-moreFrame-2*n.aRun()))
+	return max(100, n.valueBytes()-j.base+n.continuationKeys()*(n.cfg.ValueBytes-continuationFrame-2*n.aRun()))
 }
 
 // toPlan is that for what is yet to be granted, by the limits that hold at all times.
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -9,8 +9,8 @@
 type chain struct {
 	needs      []int // jobs that it waits on and that were not done when it was submitted
 	dependents []int // jobs that wait on it
-	open       int   // needs that are not done
-	doomed     bool  // a job that it needs, directly or through others, is withdrawn
+	openNeeds       int   // needs that are not done
+	ancestorWithdrawn     bool  // a job that it needs, directly or through others, is withdrawn
 	readyAt    Time  // when our copy first showed all its needs done; 0: not yet
 	readyMS    int64 // the same as time of day
 	dueMS      int64 // when it should be done, so that what needs it can be in time; 0: no matter
@@ -25,7 +25,7 @@
 	return n.jobs[ix]
 }
 
-func (j *job) ties() *chain {
+func (j *job) ensureChain() *chain {
 	if j.chain == nil {
 		j.chain = &chain{}
 	}
@@ -33,26 +33,26 @@
 }
 
 // waits tells whether a job may not be granted anything yet, or ever.
-func (j *job) waits() bool { return j.chain != nil && (j.chain.open > 0 || j.chain.doomed) }
+func (j *job) waits() bool { return j.chain != nil && (j.chain.openNeeds > 0 || j.chain.ancestorWithdrawn) }
 
 // state is a job's state as it follows from all records.
 func (j *job) state() int {
-	if j.rec.State == wire.Live && j.chain != nil && j.chain.doomed {
+	if j.rec.State == wire.Live && j.chain != nil && j.chain.ancestorWithdrawn {
 		return wire.Withdrawn
 	}
 	return j.rec.State
 }
 
-// tie takes in what a job waits on, when its record is first seen.
-func (n *Node) tie(j *job) {
+// linkNeeds takes in what a job waits on, when its record is first seen.
+func (n *Node) linkNeeds(j *job) {
 	if j.rec.Waits() {
-		c := j.ties()
+		c := j.ensureChain()
 		refs, complete := n.needsInRecord(j.ref, j.rec)
 		if !complete {
 			// The list is written before the record that names it, so this can't
 			// happen. If it does, the job must not start.
 			n.log(2, "a record lacks its list of needs", "job", j.ref)
-			c.open++
+			c.openNeeds++
 		}
 		for _, ref := range refs {
 			a := n.jobAt(ref)
@@ -60,29 +60,29 @@
 			if a.rec != nil && a.rec.State == wire.Done {
 				continue
 			}
-			c.open++
+			c.openNeeds++
 			if a.rec != nil && a.state() == wire.Withdrawn {
-				n.doom(j)
+				n.markWithdrawn(j)
 				continue
 			}
-			up := a.ties()
+			up := a.ensureChain()
 			up.dependents = append(up.dependents, j.ix)
 		}
-		if c.open == 0 {
-			n.ready(j)
+		if c.openNeeds == 0 {
+			n.markReady(j)
 		}
 	}
 	if j.chain != nil {
-		n.press(j)
+		n.propagateUrgency(j)
 	}
 }
 
-// ready notes that all that a job waits on is done: from now on it waits for room.
-func (n *Node) ready(j *job) {
+// markReady notes that all that a job waits on is done: from now on it waits for room.
+func (n *Node) markReady(j *job) {
 	j.chain.readyAt, j.chain.readyMS = n.now, n.cfg.WallMS()
 	n.leader.dirty = true
 	n.leader.at = min(n.leader.at, n.now+stagePause)
-	if n.loaded && !j.chain.doomed && j.rec != nil && j.rec.Spec != nil {
+	if n.loaded && !j.chain.ancestorWithdrawn && j.rec != nil && j.rec.Spec != nil {
 		n.noteArrival(j)
 	}
 }
@@ -91,9 +91,9 @@
 // it may as well take in what else the same changes bring.
 const stagePause = 20 * 1e6
 
-// over tells the jobs that wait on one that it is done or withdrawn. What it costs
+// notifyDependents tells the jobs that wait on one that it is done or withdrawn. What it costs
 // follows from how many they are.
-func (n *Node) over(j *job) {
+func (n *Node) notifyDependents(j *job) {
 	c := j.chain
 	if c == nil || j.rec.State == wire.Live {
 		return
@@ -104,35 +104,35 @@
 			continue // it is over itself
 		}
 		if j.rec.State == wire.Withdrawn {
-			n.doom(d)
-		} else if d.chain.open--; d.chain.open == 0 {
-			n.ready(d)
+			n.markWithdrawn(d)
+		} else if d.chain.openNeeds--; d.chain.openNeeds == 0 {
+			n.markReady(d)
 		}
 	}
 	j.chain = nil // finished jobs are kept for ever, and are very many
 }
 
-// doom marks a job, and all that need it, as withdrawn with one that they need.
-func (n *Node) doom(j *job) {
+// markWithdrawn marks a job, and all that need it, as withdrawn with one that they need.
+func (n *Node) markWithdrawn(j *job) {
 	for list := []*job{j}; len(list) > 0; {
 		j, list = list[len(list)-1], list[:len(list)-1]
 		c := j.chain
-		if c == nil || c.doomed || j.rec != nil && j.rec.State != wire.Live {
+		if c == nil || c.ancestorWithdrawn || j.rec != nil && j.rec.State != wire.Live {
 			continue
 		}
-		c.doomed = true
-		n.doomed = append(n.doomed, j.ix)
+		c.ancestorWithdrawn = true
+		n.derivedWithdrawals = append(n.derivedWithdrawals, j.ix)
 		for _, ix := range c.dependents {
 			list = append(list, n.jobs[ix])
 		}
 	}
 }
 
-// closeDoomed writes down what follows from other records anyway, with puts that
+// recordWithdrawals writes down what follows from other records anyway, with puts that
 // nothing else needs, so that the jobs need not be kept in mind.
-func (n *Node) closeDoomed(w *writer) {
-	for len(n.doomed) > 0 {
-		j := n.jobs[n.doomed[0]]
+func (n *Node) recordWithdrawals(w *writer) {
+	for len(n.derivedWithdrawals) > 0 {
+		j := n.jobs[n.derivedWithdrawals[0]]
 		if j.rec == nil {
 			return
 		}
@@ -142,20 +142,20 @@
 				return
 			}
 			rec.State = wire.Withdrawn
-			n.doomed = append(n.doomed[1:], j.ix) // until our copy shows it
-			if len(w.order) >= len(n.doomed) {
+			n.derivedWithdrawals = append(n.derivedWithdrawals[1:], j.ix) // until our copy shows it
+			if len(w.order) >= len(n.derivedWithdrawals) {
 				return
 			}
 			continue
 		}
-		n.doomed = n.doomed[1:]
+		n.derivedWithdrawals = n.derivedWithdrawals[1:]
 	}
 }
 
-// press passes on to what a job needs how urgent it is, and by when it has to begin
+// propagateUrgency passes on to what a job needs how urgent it is, and by when it has to begin
 // to be done in time. One deadline and one urgency at the end of a chain so hold
 // for all of it.
-func (n *Node) press(j *job) {
+func (n *Node) propagateUrgency(j *job) {
 	for list := []*job{j}; len(list) > 0; {
 		j, list = list[len(list)-1], list[:len(list)-1]
 		if j.rec == nil || j.rec.Spec == nil {
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -15,7 +15,7 @@
 	n := New(Config{Self: "n0", Life: "x", Zone: "a", Members: members, Zones: []string{"a"}, Teams: []Team{{Name: "t"}},
 		Report: 4 * second, Lease: 30 * second, Validity: 23 * second, LeaderTTL: 5 * second, TxnOps: 12, ValueBytes: 8192, BatchPuts: 8,
 		WallMS: func() int64 { return 1_000_000 }})
-	n.Step(second, Changes{Reset: true, Rev: 1, Events: []Event{{Key: wire.FormatPrefix + "n0", Rev: 1, Value: &wire.Reads{Format: wire.Format}}}})
+	n.Step(second, Changes{Reset: true, Rev: 1, Events: []Event{{Key: wire.FormatPrefix + "n0", Rev: 1, Value: &wire.SupportedFormat{Format: wire.Format}}}})
 	n.takeTypes([]wire.Flavor{{Name: "g", Cores: 8, Cards: 1, MemoryGB: 64, FetchGBs: 1, Price: 1, BootS: 10, Zones: []string{"a"}}})
 	return n
 }
@@ -131,7 +131,7 @@
 	n := chained(Member{"n0", "a"}, Member{"n1", "a"})
 	see(n, 2, "wk-000001", wire.Live, nil)
 	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", "wk-000001")}, nil)
-	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 || n.moreKeys() > 0 {
+	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 || n.continuationKeys() > 0 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
 	}
 	// Nor is it handed to a peer, which may be of the version before.
@@ -143,12 +143,12 @@
 		}
 	}
 	n.storeOK = true
-	n.Step(n.now+1, Changes{Rev: 9, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 9, Value: &wire.Reads{Format: 2}}}})
+	n.Step(n.now+1, Changes{Rev: 9, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 9, Value: &wire.SupportedFormat{Format: 2}}}})
 	if r, wrote = settle(n, UserRequest{Req: 2, Kind: "submit", Body: submission("wk-000100", "wk-000001")}, nil); r == nil || r.Status != 201 || len(wrote) != 1 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
 	}
 	// It never goes back.
-	n.Step(n.now+1, Changes{Rev: 10, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 10, Value: &wire.Reads{Format: 1}}}})
+	n.Step(n.now+1, Changes{Rev: 10, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 10, Value: &wire.SupportedFormat{Format: 1}}}})
 	if !n.writesChains() {
 		t.Error("went back to the format before")
 	}
@@ -169,8 +169,8 @@
 	}
 	n.leader.rec = nil
 	see(n, 5*many, name(0), wire.Withdrawn, nil)
-	if len(n.doomed) != 2*many-2 {
-		t.Errorf("%d jobs were touched, not %d once each", len(n.doomed), 2*many-2)
+	if len(n.derivedWithdrawals) != 2*many-2 {
+		t.Errorf("%d jobs were touched, not %d once each", len(n.derivedWithdrawals), 2*many-2)
 	}
 	for _, i := range []int{1, many - 1, many + 1, 2*many - 1} {
 		r, _ := settle(n, UserRequest{Req: uint64(i), Kind: "poll", Ref: name(i)}, nil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -253,11 +253,11 @@
 	finished map[[2]int]*wire.Job
 	live     []int // jobs that are unfinished or still have tasks on machines
 	gangs    map[string]*gang
-	more     map[string]map[int]wire.Actives // active tasks in further keys, by job
+	continuations     map[string]map[int]wire.Actives // active tasks in further keys, by job
 	// Parts of lists of needs, by job and key, while the job's record is not taken in.
 	needsLists map[string]map[string][]string
-	doomed     []int          // jobs below a withdrawn one, not yet recorded as such
-	reads      map[string]int // the format that each controller reads
+	derivedWithdrawals     []int          // jobs below a withdrawn one, not yet recorded as such
+	formats      map[string]int // the format that each controller reads
 	agreed     int            // the newest format that all controllers read
 	formatAt   Time
 	shrunk     bool // no record is larger than the limits to come
@@ -297,7 +297,7 @@
 	ownInfoAt   Time
 	heldAt      Time
 	usersAt     Time
-	puts        purse
+	budget        writeBudget
 	arrivals    []*arrivals
 	runTimes    runTimes
 	countedFrom Time   // since when arrivals are counted; 0: not yet
@@ -354,7 +354,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg:     cfg,
-		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, more: map[string]map[int]wire.Actives{}, needsLists: map[string]map[string][]string{}, reads: map[string]int{}, peers: map[string]*peer{},
+		pending: map[uint64]func(any){}, gangs: map[string]*gang{}, continuations: map[string]map[int]wire.Actives{}, needsLists: map[string]map[string][]string{}, formats: map[string]int{}, peers: map[string]*peer{},
 		results: map[taskKey]result{}, finished: map[[2]int]*wire.Job{}, kept: map[int]int{}, stopJobs: map[int]bool{}, grantSeen: map[taskKey]Time{},
 		refusedSince: map[string]Time{},
 	}
@@ -424,7 +424,7 @@
 	if !n.loaded {
 		return
 	}
-	n.tellFormat()
+	n.writeFormat()
 	n.claimParts()
 	n.claimLeader()
 	n.runChecks()
@@ -471,7 +471,7 @@
 		c := in.(Committed)
 		n.storeHeard(c.Outcome)
 		if c.Limited && len(writes) > 0 {
-			n.puts.limited(n.now)
+			n.budget.noteRefusal(n.now)
 		}
 		if c.Outcome == TooLarge {
 			n.log(2, "a transaction is beyond the state service's limits", "writes", len(writes), "conditions", len(conds))
@@ -479,7 +479,7 @@
 		f(c)
 	})
 	if class == Bulk {
-		n.puts.left -= float64(len(writes))
+		n.budget.available -= float64(len(writes))
 	}
 	n.emit(Commit{ID: id, If: conds, Writes: writes, Class: class})
 }
@@ -578,7 +578,7 @@
 		}
 	}
 	if c.Reset {
-		clear(n.more) // the listing holds all there are
+		clear(n.continuations) // the listing holds all there are
 	}
 	n.changeAll(c.Events)
 	if c.Reset {
@@ -589,7 +589,7 @@
 		}
 	}
 	if !c.Reset {
-		n.sawPuts(len(c.Events))
+		n.countWrites(len(c.Events))
 	}
 	n.loaded = n.loaded || c.Reset
 	n.rev = max(n.rev, c.Rev)
@@ -608,11 +608,11 @@
 		if needs, is := e.Value.(*wire.Needs); is {
 			n.putNeeds(e.Key, needs) // in a listing it comes after the record
 		}
-		if !strings.HasPrefix(e.Key, wire.MorePrefix) {
+		if !strings.HasPrefix(e.Key, wire.ContinuationPrefix) {
 			continue
 		}
-		m, _ := e.Value.(*wire.More)
-		n.takeMore(e.Key, m)
+		m, _ := e.Value.(*wire.Continuation)
+		n.putContinuation(e.Key, m)
 		if last == nil {
 			last = map[string]int{}
 			for k, e := range events {
@@ -630,8 +630,8 @@
 
 func (n *Node) change(e Event) {
 	switch v := e.Value.(type) {
-	case *wire.Reads:
-		n.takeFormat(e.Key[len(wire.FormatPrefix):], v)
+	case *wire.SupportedFormat:
+		n.putFormat(e.Key[len(wire.FormatPrefix):], v)
 	case *wire.Job:
 		ref := e.Key[len(wire.JobPrefix):]
 		n.putJob(ref, v, e.Rev)
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -13,14 +13,14 @@
 
 // formatWrites is the record of what we read, until our copy shows it.
 func (n *Node) formatWrites() []Write {
-	if n.cfg.Format < wire.FormatChains || n.reads[n.cfg.Self] >= n.cfg.Format {
+	if n.cfg.Format < wire.FormatChains || n.formats[n.cfg.Self] >= n.cfg.Format {
 		return nil
 	}
-	return []Write{{Key: wire.FormatPrefix + n.cfg.Self, Value: &wire.Reads{Format: n.cfg.Format}}}
+	return []Write{{Key: wire.FormatPrefix + n.cfg.Self, Value: &wire.SupportedFormat{Format: n.cfg.Format}}}
 }
 
-// tellFormat leaves that record.
-func (n *Node) tellFormat() {
+// writeFormat leaves that record.
+func (n *Node) writeFormat() {
 	if n.formatAt == 0 {
 		n.formatAt = n.now + formatPause
 	}
@@ -33,12 +33,12 @@
 	}
 }
 
-// takeFormat learns what a controller reads.
-func (n *Node) takeFormat(label string, r *wire.Reads) {
-	n.reads[label] = max(n.reads[label], r.Format)
+// putFormat learns what a controller reads.
+func (n *Node) putFormat(label string, r *wire.SupportedFormat) {
+	n.formats[label] = max(n.formats[label], r.Format)
 	agreed := n.cfg.Format
 	for _, m := range n.cfg.Members {
-		agreed = min(agreed, n.reads[m.Label])
+		agreed = min(agreed, n.formats[m.Label])
 	}
 	if agreed <= n.agreed {
 		return
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -21,7 +21,7 @@
 	n.ownInfo()
 	m := wire.Gossip{
 		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(),
-		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{}, Need: n.puts.need,
+		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{}, Need: n.budget.pendingRecords,
 	}
 	for _, p := range n.parts {
 		if n.valid(p) {
@@ -169,7 +169,7 @@
 		// the leader would plan without most of them for a while.
 		n.roomAt = n.now + max(second, Time(float64(n.cfg.Report)*n.scarcity()))
 	}
-	n.commit(Bulk, nil, []Write{{Key: wire.RoomPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
+	n.commit(Bulk, nil, []Write{{Key: wire.MailboxPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
 }
 
 // fits tells whether a value is within the limits.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -58,10 +58,10 @@
 		return
 	}
 	if rec != nil {
-		n.whole(ref, rec)
+		n.assemble(ref, rec)
 	}
 	if n.loaded && rec != nil && (j.rec == nil || j.rec.State == wire.Live && rec.State == wire.Withdrawn) {
-		n.puts.seenUsers++
+		n.budget.seenUserWrites++
 	}
 	if j.rec != nil {
 		n.unindex(j)
@@ -94,7 +94,7 @@
 			n.noteArrival(j)
 		}
 	}
-	n.over(j)
+	n.notifyDependents(j)
 	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
 		// A job that fails everywhere waits longer each time.
 		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
@@ -139,7 +139,7 @@
 	for _, name := range sp.Rigs {
 		j.rigs.add(n.rigs.Of(name))
 	}
-	n.tie(j)
+	n.linkNeeds(j)
 }
 
 // allows tells whether a job's tasks may run on a kind of machine at a place.
@@ -236,7 +236,7 @@
 	if r.State == wire.Live && countDone(r.DoneSet) == r.Frames {
 		r.State = wire.Done
 	}
-	if r.State != wire.Live && len(r.Active) == 0 && r.More == 0 {
+	if r.State != wire.Live && len(r.Active) == 0 && r.Continuations == 0 {
 		r.Spec, r.Avoid, r.Errors = nil, nil, 0
 		if r.State == wire.Done {
 			r.DoneSet = nil
@@ -303,5 +303,5 @@
 // with room for the rest of the record. Larger arrays are told apart in bulk.go.
 func (n *Node) activeLimit() int {
 	const perTask = 60 // generous, in JSON form, with its share of the done set
-	return max(1, (n.cfg.ValueBytes*(1+n.moreKeys())-2000)/perTask)
+	return max(1, (n.cfg.ValueBytes*(1+n.continuationKeys())-2000)/perTask)
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -206,8 +206,8 @@
 	n.revokeOrphans(w)
 	n.ownInfo()
 	left := n.plan(w)
-	n.closeDoomed(w)
-	n.puts.leader = len(w.order) + left
+	n.recordWithdrawals(w)
+	n.budget.pendingGrants = len(w.order) + left
 	n.log(0, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
 }
--- a/internal/core/more.go
+++ b/internal/core/more.go
@@ -15,17 +15,17 @@
 // holds at sites whose arrays have up to a hundred tasks.
 const enoughBytes = 8 << 10
 
-// moreKeys is how many further keys the leader plans with. A grant changes the
+// continuationKeys is how many further keys the leader plans with. A grant changes the
 // record, the key of a gang perhaps, and these.
-func (n *Node) moreKeys() int {
+func (n *Node) continuationKeys() int {
 	if !n.writesChains() {
 		return 0
 	}
 	return max(0, min(enoughBytes/n.cfg.ValueBytes-1, n.cfg.TxnOps-2))
 }
 
-// moreFrame bounds what a further key's value takes besides its lists.
-const moreFrame = 16
+// continuationFrame bounds what a further key's value takes besides its lists.
+const continuationFrame = 16
 
 // valueBytes is what a value may take now. While controllers of the earlier version
 // are about, their records may be as large as the present limit allows, and are
@@ -37,84 +37,84 @@
 	return n.cfg.ValueBytes
 }
 
-// takeMore keeps the further active tasks of a job until its record is taken in.
-func (n *Node) takeMore(key string, m *wire.More) {
-	ref, k := wire.SplitMore(key)
+// putContinuation keeps the further active tasks of a job until its record is taken in.
+func (n *Node) putContinuation(key string, m *wire.Continuation) {
+	ref, k := wire.SplitContinuation(key)
 	if m == nil {
-		if delete(n.more[ref], k); len(n.more[ref]) == 0 {
-			delete(n.more, ref)
+		if delete(n.continuations[ref], k); len(n.continuations[ref]) == 0 {
+			delete(n.continuations, ref)
 		}
 		return
 	}
-	if n.more[ref] == nil {
-		n.more[ref] = map[int]wire.Actives{}
+	if n.continuations[ref] == nil {
+		n.continuations[ref] = map[int]wire.Actives{}
 	}
-	n.more[ref][k] = m.Active
+	n.continuations[ref][k] = m.Active
 }
 
-// whole puts a record together from its keys.
-func (n *Node) whole(ref string, rec *wire.Job) {
+// assemble puts a record together from its keys.
+func (n *Node) assemble(ref string, rec *wire.Job) {
 	rec.Active = slices.Clip(rec.Active)
 	for i := range rec.Active {
-		rec.Active[i].In = 1
+		rec.Active[i].StoredIn = 1
 	}
-	for k := 1; k <= rec.More; k++ {
-		for _, a := range n.more[ref][k] {
-			a.In = k + 1
+	for k := 1; k <= rec.Continuations; k++ {
+		for _, a := range n.continuations[ref][k] {
+			a.StoredIn = k + 1
 			rec.Active = append(rec.Active, a)
 		}
 	}
 }
 
-// in lists the tasks that one key holds.
-func in(l wire.Actives, key int) wire.Actives {
+// tasksInKey lists the tasks that one key holds.
+func tasksInKey(l wire.Actives, key int) wire.Actives {
 	var out wire.Actives
 	for _, a := range l {
-		if a.In == key {
+		if a.StoredIn == key {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// spread shares the active tasks of a changed record out to its keys and gives the
+// splitRecord shares the active tasks of a changed record out to its keys and gives the
 // writes that follow, the record's own first. What has a place keeps it, so that
 // few keys change. The first opaque further keys are left alone: their tasks are
 // not in rec.
-func (n *Node) spread(ref string, was wire.Actives, wasMore, opaque int, rec *wire.Job) []Write {
+func (n *Node) splitRecord(ref string, was wire.Actives, wasMore, unknownKeys int, rec *wire.Job) []Write {
 	own := *rec
 	base := n.baseOf(rec)
 	room := func(key int) int {
 		if key == 1 {
 			return n.valueBytes() - base - rangeCost*len(rec.DoneSet)
 		}
-		return n.cfg.ValueBytes - moreFrame
+		return n.cfg.ValueBytes - continuationFrame
 	}
 	l := rec.Active
 	if !n.writesChains() || len(l) == 0 || wasMore == 0 && l.Cost() <= room(1) {
 		for i := range l {
-			l[i].In = 1
+			l[i].StoredIn = 1
 		}
-		own.More = opaque
+		own.Continuations = unknownKeys
 		if len(l) > 0 {
 			own.Active = l
 		}
-		return append([]Write{{Key: wire.JobKey(ref), Value: &own}}, drops(ref, opaque+1, wasMore)...)
+		return append([]Write{{Key: wire.JobKey(ref), Value: &own}}, dropContinuations(ref, unknownKeys+1, wasMore)...)
 	}
-	if opaque == 0 && l.Cost() <= room(1)*3/4 {
+	if unknownKeys == 0 && l.Cost() <= room(1)*3/4 {
 		for i := range l {
-			l[i].In = 1 // it fits one key again
+			l[i].StoredIn = 1 // it fits one key again
 		}
 	}
 	cost := map[int]int{}
 	last := wasMore + 1 + len(l) // ample: what is planned keeps to moreKeys
 	for key := 1; key <= wasMore+1; key++ {
-		held := in(l, key)
+		held := tasksInKey(l, key)
 		for cost[key] = held.Cost(); cost[key] > room(key) && len(held) > 0; cost[key] = held.Cost() {
 			from, _ := held.Run(len(held) - 1)
 			for i := range l {
-				if l[i].In == key && slices.ContainsFunc(held[from:], func(a wire.Active) bool { return a.Task == l[i].Task && a.Attempt == l[i].Attempt }) {
-					l[i].In = 0
+				if l[i].StoredIn == key && slices.ContainsFunc(held[from:], func(a wire.Active) bool { return a.Task == l[i].Task && a.Attempt == l[i].Attempt }) {
+					l[i].StoredIn = 0
 				}
 			}
 			held = held[:from]
@@ -123,60 +123,60 @@
 	for at := 0; at < len(l); {
 		from, to := l.Run(at)
 		at = to
-		if l[from].In != 0 {
+		if l[from].StoredIn != 0 {
 			continue
 		}
 		need := wire.RunCost(l[from].Host) + wire.ListCost
 		key := 1
-		for key < last && (key > 1 && key <= opaque+1 || cost[key]+need > room(key)) {
+		for key < last && (key > 1 && key <= unknownKeys+1 || cost[key]+need > room(key)) {
 			key++
 		}
 		cost[key] += need
 		for i := from; i < to; i++ {
-			l[i].In = key
+			l[i].StoredIn = key
 		}
 	}
-	own.More = opaque
+	own.Continuations = unknownKeys
 	for _, a := range l {
-		own.More = max(own.More, a.In-1)
+		own.Continuations = max(own.Continuations, a.StoredIn-1)
 	}
-	own.Active = in(l, 1)
+	own.Active = tasksInKey(l, 1)
 	out := []Write{{Key: wire.JobKey(ref), Value: &own}}
-	for k := opaque + 1; k <= own.More; k++ {
-		now := in(l, k+1)
-		if k > wasMore && len(now) > 0 && sameTasks(now, n.more[ref][k]) {
+	for k := unknownKeys + 1; k <= own.Continuations; k++ {
+		now := tasksInKey(l, k+1)
+		if k > wasMore && len(now) > 0 && sameTasks(now, n.continuations[ref][k]) {
 			continue // written ahead
 		}
 		if len(now) == 0 {
-			if len(in(was, k+1)) > 0 { // a hole: an empty value keeps the count simple
-				out = append(out, Write{Key: wire.MoreKey(ref, k), Value: &wire.More{}})
+			if len(tasksInKey(was, k+1)) > 0 { // a hole: an empty value keeps the count simple
+				out = append(out, Write{Key: wire.ContinuationKey(ref, k), Value: &wire.Continuation{}})
 			}
 			continue
 		}
-		if !slices.Equal(now, in(was, k+1)) {
-			out = append(out, Write{Key: wire.MoreKey(ref, k), Value: &wire.More{Active: now}})
+		if !slices.Equal(now, tasksInKey(was, k+1)) {
+			out = append(out, Write{Key: wire.ContinuationKey(ref, k), Value: &wire.Continuation{Active: now}})
 		}
 	}
-	return append(out, drops(ref, own.More+1, wasMore)...)
+	return append(out, dropContinuations(ref, own.Continuations+1, wasMore)...)
 }
 
 // sameTasks compares what a key is to hold with what it holds.
 func sameTasks(a, b wire.Actives) bool {
 	return slices.EqualFunc(a, b, func(x, y wire.Active) bool {
-		x.In, y.In = 0, 0
+		x.StoredIn, y.StoredIn = 0, 0
 		return x == y
 	})
 }
 
-// aheadOf gives the writes of further keys that the record does not name yet, as
+// writesAhead gives the writes of further keys that the record does not name yet, as
 // many as one transaction takes. Nobody minds them until it does, which the last of
 // the transactions brings; a record far too large for one so gets within the limits
 // without any task being out of it in between.
-func aheadOf(changed []Write, named, most int) []Write {
+func writesAhead(changed []Write, named, most int) []Write {
 	var out []Write
 	for i := len(changed) - 1; i >= 0 && len(out) < most; i-- {
-		if _, is := changed[i].Value.(*wire.More); is {
-			if _, k := wire.SplitMore(changed[i].Key); k > named {
+		if _, is := changed[i].Value.(*wire.Continuation); is {
+			if _, k := wire.SplitContinuation(changed[i].Key); k > named {
 				out = append(out, changed[i])
 			}
 		}
@@ -184,10 +184,10 @@
 	return out
 }
 
-func drops(ref string, from, to int) []Write {
+func dropContinuations(ref string, from, to int) []Write {
 	var out []Write
 	for k := from; k <= to; k++ {
-		out = append(out, Write{Key: wire.MoreKey(ref, k)})
+		out = append(out, Write{Key: wire.ContinuationKey(ref, k)})
 	}
 	return out
 }
@@ -195,7 +195,7 @@
 // baseOf bounds what a record takes without its lists, in the form in which values
 // are measured.
 func (n *Node) baseOf(rec *wire.Job) int {
-	bare := wire.Job{Spec: rec.Spec, State: rec.State, Frames: rec.Frames, At: rec.At, Next: rec.Next + 1000, Errors: rec.Errors + 100, Avoid: rec.Avoid, More: 10,
+	bare := wire.Job{Spec: rec.Spec, State: rec.State, Frames: rec.Frames, At: rec.At, Next: rec.Next + 1000, Errors: rec.Errors + 100, Avoid: rec.Avoid, Continuations: 10,
 		NeedsList: rec.NeedsList, NeedsKeys: rec.NeedsKeys}
 	size, err := wire.JSONSize(&bare)
 	if err != nil {
@@ -225,7 +225,7 @@
 	n.shrunk = true
 	for _, jx := range n.live {
 		j := n.jobs[jx]
-		if j.rec.Spec == nil || j.rec.More > 0 || j.base+recordCost(j.rec.Active, j.rec.DoneSet) <= n.cfg.ValueBytes {
+		if j.rec.Spec == nil || j.rec.Continuations > 0 || j.base+recordCost(j.rec.Active, j.rec.DoneSet) <= n.cfg.ValueBytes {
 			continue
 		}
 		n.shrunk = false
--- a/internal/core/more_test.go
+++ b/internal/core/more_test.go
@@ -17,15 +17,15 @@
 	n := New(Config{Self: "n0", Members: []Member{{"n0", "a"}}, Zones: []string{"a"}, TxnOps: 4, ValueBytes: 2048, ValueNow: 8192,
 		WallMS: func() int64 { return 0 }})
 	n.agreed = wire.Format
-	if n.moreKeys() != 2 {
-		t.Fatalf("%d further keys, not 2", n.moreKeys())
+	if n.continuationKeys() != 2 {
+		t.Fatalf("%d further keys, not 2", n.continuationKeys())
 	}
 	const ref = "wk-000001"
 	rec := &wire.Job{Spec: &wire.Spec{Ref: ref, Class: "c", Team: "t", Shape: wire.ShapeArray, Frames: 200, Image: "img"}, Frames: 200, Next: 1}
 	kept := map[int]wire.Actives{} // further keys as stored
 	most := 0
 	for step := range 400 {
-		was, wasMore := slices.Clone(rec.Active), rec.More
+		was, wasMore := slices.Clone(rec.Active), rec.Continuations
 		next := clone(rec)
 		for range 1 + rng.IntN(3) { // ends
 			if len(next.Active) > 0 && rng.IntN(2) == 0 {
@@ -38,7 +38,7 @@
 				next.Active = append(next.Active, wire.Active{Task: step*10 + rng.IntN(10), Attempt: uint64(step), Host: fmt.Sprintf("vm-%06d", rng.IntN(200)), Session: 1, Part: rng.IntN(3)})
 			}
 		}
-		writes := n.spread(ref, was, wasMore, 0, next)
+		writes := n.splitRecord(ref, was, wasMore, 0, next)
 		if len(writes) > n.cfg.TxnOps+1 {
 			t.Fatalf("step %d: %d writes", step, len(writes))
 		}
@@ -51,26 +51,26 @@
 			switch v := w.Value.(type) {
 			case *wire.Job:
 				rec = v
-			case *wire.More:
-				_, k := wire.SplitMore(w.Key)
+			case *wire.Continuation:
+				_, k := wire.SplitContinuation(w.Key)
 				if slices.Equal(kept[k], v.Active) && len(v.Active) > 0 {
 					t.Errorf("step %d: %s is written again unchanged", step, w.Key)
 				}
 				kept[k] = v.Active
 			case nil:
-				_, k := wire.SplitMore(w.Key)
+				_, k := wire.SplitContinuation(w.Key)
 				delete(kept, k)
 			}
 		}
 		for k, l := range kept {
-			n.takeMore(wire.MoreKey(ref, k), &wire.More{Active: slices.Clone(l)})
+			n.putContinuation(wire.ContinuationKey(ref, k), &wire.Continuation{Active: slices.Clone(l)})
 		}
-		if len(kept) != rec.More {
-			t.Fatalf("step %d: %d further keys are stored, the record names %d", step, len(kept), rec.More)
+		if len(kept) != rec.Continuations {
+			t.Fatalf("step %d: %d further keys are stored, the record names %d", step, len(kept), rec.Continuations)
 		}
-		most = max(most, rec.More)
+		most = max(most, rec.Continuations)
 		rec = clone(rec)
-		n.whole(ref, rec)
+		n.assemble(ref, rec)
 		byTask := func(a, b wire.Active) int { return (a.Task-b.Task)*1e6 + int(a.Attempt) - int(b.Attempt) }
 		got, want := slices.Clone(rec.Active), slices.Clone(next.Active)
 		slices.SortStableFunc(got, byTask)
@@ -79,8 +79,8 @@
 			t.Fatalf("step %d: %d tasks became %d", step, len(want), len(got))
 		}
 	}
-	if most < 2 || rec.More != 0 {
-		t.Errorf("%d further keys at most, %d in the end", most, rec.More)
+	if most < 2 || rec.Continuations != 0 {
+		t.Errorf("%d further keys at most, %d in the end", most, rec.Continuations)
 	}
 }
 
@@ -92,9 +92,9 @@
 	n.agreed = wire.Format
 	rec := &wire.Job{Spec: &wire.Spec{Ref: "wk-000001", Frames: 100}, Frames: 100, Next: 101}
 	for i := range 100 {
-		rec.Active = append(rec.Active, wire.Active{Task: i, Attempt: uint64(i + 1), Host: fmt.Sprintf("vm-%06d", i), Session: 1, In: 1})
+		rec.Active = append(rec.Active, wire.Active{Task: i, Attempt: uint64(i + 1), Host: fmt.Sprintf("vm-%06d", i), Session: 1, StoredIn: 1})
 	}
-	writes := n.spread("wk-000001", slices.Clone(rec.Active), 0, 0, rec)
+	writes := n.splitRecord("wk-000001", slices.Clone(rec.Active), 0, 0, rec)
 	if len(writes) > n.cfg.TxnOps {
 		t.Errorf("%d writes", len(writes))
 	}
@@ -141,7 +141,7 @@
 					t.Fatalf("%s has %d bytes, %v", w.Key, size, err)
 				}
 				if j, is := w.Value.(*wire.Job); is {
-					named = j.More
+					named = j.Continuations
 				}
 				if !slices.ContainsFunc(c.If, func(c Cond) bool { return c.Key == wire.JobKey("wk-000001") }) {
 					t.Fatalf("%s is written under %+v", w.Key, c.If)
@@ -165,7 +165,7 @@
 	n.cfg.ValueBytes, n.cfg.TxnOps = 2048, 4
 	for _, own := range []int{0, 2} {
 		rec := lowJob(wire.Live)
-		rec.More, rec.Frames = 1, 9
+		rec.Continuations, rec.Frames = 1, 9
 		for i := range own {
 			rec.Active = append(rec.Active, wire.Active{Task: i, Attempt: 1, Host: "vm-1", Session: 1})
 		}
@@ -173,7 +173,7 @@
 		if r == nil || r.Status != 200 || len(wrote) != 1 {
 			t.Fatalf("answered with %+v, wrote %+v", r, wrote)
 		}
-		if j := wrote[0].Value.(*wire.Job); j.State != wire.Withdrawn || j.More != 1 || j.Spec == nil || len(j.Active) != own {
+		if j := wrote[0].Value.(*wire.Job); j.State != wire.Withdrawn || j.Continuations != 1 || j.Spec == nil || len(j.Active) != own {
 			t.Errorf("recorded %+v", j)
 		}
 	}
--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -60,8 +60,8 @@
 		manyNeeds(other, count)
 		other.Step(other.now+1, changesOf(2000, order))
 		j := other.jobNamed("wk-000100")
-		if j.chain == nil || j.chain.open != count || len(other.needsLists) > 0 {
-			t.Fatalf("%s: %d needs are open, %d lists are kept", name, j.chain.open, len(other.needsLists))
+		if j.chain == nil || j.chain.openNeeds != count || len(other.needsLists) > 0 {
+			t.Fatalf("%s: %d needs are open, %d lists are kept", name, j.chain.openNeeds, len(other.needsLists))
 		}
 		for i, ref := range refs[:count-1] {
 			see(other, 3000+i, ref, wire.Done, nil)
@@ -133,7 +133,7 @@
 func TestNoLongListBeforeAllReadIt(t *testing.T) {
 	n := smallValues(Member{"n0", "a"}, Member{"n1", "a"})
 	reads := func(rev uint64, label string, format int) {
-		n.Step(n.now+1, Changes{Rev: rev, Events: []Event{{Key: wire.FormatPrefix + label, Rev: rev, Value: &wire.Reads{Format: format}}}})
+		n.Step(n.now+1, Changes{Rev: rev, Events: []Event{{Key: wire.FormatPrefix + label, Rev: rev, Value: &wire.SupportedFormat{Format: format}}}})
 	}
 	reads(5, "n0", wire.Format)
 	reads(6, "n1", wire.FormatChains)
--- a/internal/core/purse.go
+++ b/internal/core/purse.go
@@ -1,74 +1,74 @@
 package core
 
-// purse is what we may still put into the state service now. The service
+// writeBudget is what we may still put into the state service now. The service
 // allows few puts, for all controllers together; a tenth is left for what
 // can't wait, which are claims, submissions and withdrawals. The rest is
 // shared by need: each controller tells how many records it has to write, and
 // takes the share that this gives it. What is decided is thus written at once,
 // before others have changed the records that it rests on.
-type purse struct {
-	left   float64
-	at     Time
+type writeBudget struct {
+	available   float64
+	availableAt     Time
 	rate   float64
 	rateAt Time
-	behind float64 // seconds that all controllers would take for what waits to be written
-	seen   float64 // puts that our watch has shown since usedAt
-	usedAt Time
-	used   float64 // puts a second by all, over the last while
+	backlogS float64 // seconds that all controllers would take for what waits to be written
+	seenWrites   float64 // puts that our watch has shown since usedAt
+	measuredAt Time
+	writesPerS   float64 // puts a second by all, over the last while
 
-	seenUsers int     // submissions and withdrawals among those
-	users     float64 // of these a second, over the last while
-	lowUntil  Time    // until when the rate to come is kept to
-	lowFor    Time
-	need      int // records that wait to be written by us
-	leader    int // of these, grants that the last pass of the leader found no put for
+	seenUserWrites int     // submissions and withdrawals among those
+	userWritesPerS     float64 // of these a second, over the last while
+	reducedUntil  Time    // until when the rate to come is kept to
+	reducedFor    Time
+	pendingRecords      int // records that wait to be written by us
+	pendingGrants    int // of these, grants that the last pass of the leader found no put for
 }
 
-// limited notes that the service refused puts as too many: the rate that it is to
+// noteRefusal notes that the service refused puts as too many: the rate that it is to
 // allow from some moment on may hold already. It is kept to for longer each time.
-func (p *purse) limited(now Time) {
-	if now < p.lowUntil {
+func (p *writeBudget) noteRefusal(now Time) {
+	if now < p.reducedUntil {
 		return
 	}
-	p.lowFor = max(20*second, 2*p.lowFor)
-	p.lowUntil = now + p.lowFor
+	p.reducedFor = max(20*second, 2*p.reducedFor)
+	p.reducedUntil = now + p.reducedFor
 }
 
 // writeRPS is how many puts a second the service takes, as far as is seen.
 func (n *Node) writeRPS() float64 {
-	if next := n.cfg.NextWriteRPS; next > 0 && n.now < n.puts.lowUntil {
+	if next := n.cfg.NextWriteRPS; next > 0 && n.now < n.budget.reducedUntil {
 		return min(next, n.cfg.WriteRPS)
 	}
 	return n.cfg.WriteRPS
 }
 
-// forBulk is the part of the puts that is shared by need: nine tenths, and less
+// bulkShare is the part of the puts that is shared by need: nine tenths, and less
 // when users submit and withdraw a lot, or they would be refused.
-func (n *Node) forBulk() float64 {
-	return max(0.5, min(0.9, 0.95-1.25*n.puts.users/n.writeRPS()))
+func (n *Node) bulkShare() float64 {
+	return max(0.5, min(0.9, 0.95-1.25*n.budget.userWritesPerS/n.writeRPS()))
 }
 
-// mayPut is how many puts we may send now.
-func (n *Node) mayPut() int {
+// availableWrites is how many puts we may send now.
+func (n *Node) availableWrites() int {
 	if n.writeRPS() <= 0 {
 		return n.cfg.TxnOps
 	}
-	p := &n.puts
+	p := &n.budget
 	if n.now >= p.rateAt {
 		p.rateAt = n.now + 200*1e6
-		p.need = n.countNeed()
-		p.rate = n.putRate()
+		p.pendingRecords = n.countPendingRecords()
+		p.rate = n.ownWriteRate()
 	}
 	// All together stay within the burst of a second that the service allows.
 	most := max(float64(n.cfg.BatchPuts), 1.5*n.writeRPS()/float64(len(n.cfg.Members))) + 1
-	p.left = min(p.left+p.rate*(n.now-p.at).Seconds(), most)
-	p.at = n.now
-	return int(p.left)
+	p.available = min(p.available+p.rate*(n.now-p.availableAt).Seconds(), most)
+	p.availableAt = n.now
+	return int(p.available)
 }
 
-// putRate is our share of the puts a second.
-func (n *Node) putRate() float64 {
-	mine := 1 + float64(n.puts.need)
+// ownWriteRate is our share of the puts a second.
+func (n *Node) ownWriteRate() float64 {
+	mine := 1 + float64(n.budget.pendingRecords)
 	total := mine
 	for _, m := range n.cfg.Members {
 		if p := n.peers[m.Label]; m.Label == n.cfg.Self {
@@ -79,8 +79,8 @@
 			total++
 		}
 	}
-	all := n.writeRPS() * n.forBulk()
-	n.puts.behind = (total - float64(len(n.cfg.Members))) / all
+	all := n.writeRPS() * n.bulkShare()
+	n.budget.backlogS = (total - float64(len(n.cfg.Members))) / all
 	return max(all*mine/total, all/float64(3*len(n.cfg.Members)))
 }
 
@@ -91,23 +91,23 @@
 	if n.writeRPS() <= 0 {
 		return 0
 	}
-	return max(0, min(1, max(n.puts.behind/2, (n.puts.used/n.writeRPS()-0.25)*3)))
+	return max(0, min(1, max(n.budget.backlogS/2, (n.budget.writesPerS/n.writeRPS()-0.25)*3)))
 }
 
-// sawPuts counts what the watch shows.
-func (n *Node) sawPuts(k int) {
-	p := &n.puts
-	p.seen += float64(k)
-	if d := (n.now - p.usedAt).Seconds(); d >= 2 {
-		p.used += (p.seen/d - p.used) * min(1, d/8)
-		p.users += (float64(p.seenUsers)/d - p.users) * min(1, d/8)
-		p.seen, p.seenUsers, p.usedAt = 0, 0, n.now
+// countWrites counts what the watch shows.
+func (n *Node) countWrites(k int) {
+	p := &n.budget
+	p.seenWrites += float64(k)
+	if d := (n.now - p.measuredAt).Seconds(); d >= 2 {
+		p.writesPerS += (p.seenWrites/d - p.writesPerS) * min(1, d/8)
+		p.userWritesPerS += (float64(p.seenUserWrites)/d - p.userWritesPerS) * min(1, d/8)
+		p.seenWrites, p.seenUserWrites, p.measuredAt = 0, 0, n.now
 	}
 }
 
-// countNeed counts the records that wait to be written by us: of tasks that
+// countPendingRecords counts the records that wait to be written by us: of tasks that
 // have ended, of grants to our parts, and of grants yet to be made.
-func (n *Node) countNeed() int {
+func (n *Node) countPendingRecords() int {
 	seen := map[int]bool{}
 	for k, res := range n.results {
 		if n.pressing(k, res) {
@@ -128,7 +128,7 @@
 	}
 	need := len(seen) + len(n.results)/4
 	if n.leads() {
-		need += n.puts.leader
+		need += n.budget.pendingGrants
 	}
 	return need
 }
--- a/internal/core/stage.go
+++ b/internal/core/stage.go
@@ -80,7 +80,7 @@
 // endsBefore tells whether all that a job still waits on will probably be done by a
 // time.
 func (n *Node) endsBefore(j *job, at Time) bool {
-	if j.chain.doomed {
+	if j.chain.ancestorWithdrawn {
 		return false
 	}
 	for _, index := range j.chain.needs {
--- a/internal/core/stage_test.go
+++ b/internal/core/stage_test.go
@@ -85,7 +85,7 @@
 		see(n, 2002, "wk-000003", wire.Live, wide, "wk-000001")
 		n.jobNamed("wk-000003").rec.Frames = 3
 		if c.withdrawn {
-			n.doom(n.jobNamed("wk-000003"))
+			n.markWithdrawn(n.jobNamed("wk-000003"))
 		}
 		n.now += c.after
 		if got := planned(n); got != c.want {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -18,7 +18,7 @@
 }
 
 func newWriter(n *Node) *writer {
-	limit := min(n.cfg.TxnOps-1, n.cfg.BatchPuts, n.mayPut())
+	limit := min(n.cfg.TxnOps-1, n.cfg.BatchPuts, n.availableWrites())
 	return &writer{n: n, recs: map[int]*wire.Job{}, parts: map[int]bool{}, ended: map[taskKey]bool{}, tries: map[int]uint64{}, limit: limit}
 }
 
@@ -77,11 +77,11 @@
 	writes := w.extra
 	for _, jx := range w.order {
 		j, rec := w.n.jobs[jx], w.recs[jx]
-		rec.More = 0
+		rec.Continuations = 0
 		tidy(rec)
-		changed := w.n.spread(j.ref, j.rec.Active, j.rec.More, 0, rec)
+		changed := w.n.splitRecord(j.ref, j.rec.Active, j.rec.Continuations, 0, rec)
 		if len(changed) > w.n.cfg.TxnOps && w.ahead && len(writes) == 0 {
-			changed = aheadOf(changed, j.rec.More, w.n.cfg.TxnOps)
+			changed = writesAhead(changed, j.rec.Continuations, w.n.cfg.TxnOps)
 		}
 		if len(writes)+len(changed) > w.n.cfg.TxnOps {
 			continue // it is decided again
--- a/internal/wire/active.go
+++ b/internal/wire/active.go
@@ -16,9 +16,9 @@
 	Host    string
 	Session uint64
 	Stop    int
-	// In says which key holds it: 1 the job's own record, 2 the first of the
+	// StoredIn says which key holds it: 1 the job's own record, 2 the first of the
 	// further ones and so on, 0 none yet. It is not written.
-	In int
+	StoredIn int
 }
 
 // Actives are the active tasks of a job. Neighbours that differ in their number
@@ -35,7 +35,7 @@
 }
 
 // list is what the tasks of a list have in common.
-func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop, a.In} }
+func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop, a.StoredIn} }
 
 type runList struct {
 	part    int
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -110,13 +110,13 @@
 		Image: "img-09", ImageGB: 1, Spot: true, ExpectedS: 25}
 	return map[string]any{
 		"job-waiting": &Job{Spec: waiting, Frames: 4, At: 1764640000123, Next: 1},
-		"job-continued": &Job{Spec: array, Frames: 200, At: 1764640000123, Next: 9, DoneSet: [][2]int{{0, 12}}, More: 2,
+		"job-continued": &Job{Spec: array, Frames: 200, At: 1764640000123, Next: 9, DoneSet: [][2]int{{0, 12}}, Continuations: 2,
 			Active: Actives{{Task: 12, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2}}},
-		"continuation": &More{Active: Actives{{Task: 13, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2},
+		"continuation": &Continuation{Active: Actives{{Task: 13, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2},
 			{Task: 14, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2}, {Task: 15, Attempt: 6, Part: 0, Host: "vm-000007", Session: 1, Stop: Abandon},
 			{Task: 16, Attempt: 8, Part: 2}}},
-		"continuation-empty": &More{},
-		"reads":              &Reads{Format: 2},
+		"continuation-empty": &Continuation{},
+		"reads":              &SupportedFormat{Format: 2},
 	}
 }
 
@@ -186,14 +186,14 @@
 // The version in production skips the keys that it does not know, as DecodeRecord
 // has always done; none of the new ones looks like one that it does.
 func TestNewKeysAreNoneOfFormat1(t *testing.T) {
-	for _, key := range []string{MoreKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
-		for _, old := range []string{JobPrefix, PartPrefix, GangPrefix, RoomPrefix, ImagePrefix, LeaderKey, TypesKey} {
+	for _, key := range []string{ContinuationKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
+		for _, old := range []string{JobPrefix, PartPrefix, GangPrefix, MailboxPrefix, ImagePrefix, LeaderKey, TypesKey} {
 			if strings.HasPrefix(key, old) {
 				t.Errorf("%s begins like %s", key, old)
 			}
 		}
 	}
-	if ref, k := SplitMore(MoreKey("wk-000412", 12)); ref != "wk-000412" || k != 12 {
+	if ref, k := SplitContinuation(ContinuationKey("wk-000412", 12)); ref != "wk-000412" || k != 12 {
 		t.Errorf("%s, %d", ref, k)
 	}
 	if v, err := DecodeRecord("m/unknown/x", []byte{0x80}); v != nil || err != nil {
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -17,10 +17,10 @@
 	JobPrefix   = "m/j/"
 	PartPrefix  = "m/p/"
 	GangPrefix  = "m/g/"
-	RoomPrefix  = "m/r/"
+	MailboxPrefix  = "m/r/"
 	ImagePrefix = "m/i/"
 	// Since format 2:
-	MorePrefix   = "m/x/"
+	ContinuationPrefix   = "m/x/"
 	FormatPrefix = "m/f/"
 	// Since format 3:
 	NeedsPrefix = "m/n/"
@@ -61,7 +61,7 @@
 	Active  Actives  `msgpack:"ac,omitempty"`
 	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
 	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
-	More    int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
+	Continuations    int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
 
 	// Where the record has no room for the jobs that it waits on, they stand in
 	// further keys, which are complete before the record is written and never change.
@@ -79,15 +79,15 @@
 	Refs []string `msgpack:"w"`
 }
 
-// More continues the active tasks of a job where one value is too small. A
+// Continuation continues the active tasks of a job where one value is too small. A
 // change of it changes the job's own record too, in the same transaction, so that
 // the revision of that one stands for all.
-type More struct {
+type Continuation struct {
 	Active Actives `msgpack:"ac"`
 }
 
-// Reads says which format a controller reads. It is left for good.
-type Reads struct {
+// SupportedFormat says which format a controller reads. It is left for good.
+type SupportedFormat struct {
 	Format int `msgpack:"v"`
 }
 
@@ -136,12 +136,12 @@
 // PartKey is the key of a part's claim.
 func PartKey(name string) string { return PartPrefix + name }
 
-// MoreKey is the key of a job's further active tasks.
-func MoreKey(ref string, k int) string { return MorePrefix + ref + "/" + strconv.Itoa(k) }
+// ContinuationKey is the key of a job's further active tasks.
+func ContinuationKey(ref string, k int) string { return ContinuationPrefix + ref + "/" + strconv.Itoa(k) }
 
-// SplitMore is the reverse of MoreKey.
-func SplitMore(key string) (ref string, k int) {
-	ref, num, _ := strings.Cut(strings.TrimPrefix(key, MorePrefix), "/")
+// SplitContinuation is the reverse of MoreKey.
+func SplitContinuation(key string) (ref string, k int) {
+	ref, num, _ := strings.Cut(strings.TrimPrefix(key, ContinuationPrefix), "/")
 	k, err := strconv.Atoi(num)
 	if err != nil {
 		return ref, 0
@@ -231,14 +231,14 @@
 		v = new(Part)
 	case strings.HasPrefix(key, GangPrefix):
 		v = new(Gang)
-	case strings.HasPrefix(key, RoomPrefix):
+	case strings.HasPrefix(key, MailboxPrefix):
 		v = new(Gossip)
 	case strings.HasPrefix(key, ImagePrefix):
 		v = new(Images)
-	case strings.HasPrefix(key, MorePrefix):
-		v = new(More)
+	case strings.HasPrefix(key, ContinuationPrefix):
+		v = new(Continuation)
 	case strings.HasPrefix(key, FormatPrefix):
-		v = new(Reads)
+		v = new(SupportedFormat)
 	case strings.HasPrefix(key, NeedsPrefix):
 		v = new(Needs)
 	case key == LeaderKey:
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -159,7 +159,7 @@
 func (s *store) moreKeys() int {
 	k := 0
 	for key := range s.keys {
-		if strings.HasPrefix(key, wire.MorePrefix) {
+		if strings.HasPrefix(key, wire.ContinuationPrefix) {
 			k++
 		}
 	}
