--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,14 +25,14 @@
 func Routes(r *httprouter.Router, ask Ask, ready func() bool) {
 	r.POST("/api/jobs", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		if body, ok := Body(w, q); ok {
-			serve(w, ask, core.UserRequest{Kind: "submit", Body: body})
+			serve(w, ask, core.UserRequest{Kind: wire.Submit, Body: body})
 		}
 	})
 	r.GET("/api/jobs/:ref", func(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
-		serve(w, ask, core.UserRequest{Kind: "poll", Ref: p.ByName("ref")})
+		serve(w, ask, core.UserRequest{Kind: wire.Poll, Ref: p.ByName("ref")})
 	})
 	r.POST("/api/jobs/:ref/withdraw", func(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
-		serve(w, ask, core.UserRequest{Kind: "withdraw", Ref: p.ByName("ref")})
+		serve(w, ask, core.UserRequest{Kind: wire.Withdraw, Ref: p.ByName("ref")})
 	})
 	r.GET("/ready", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		if ready() {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -46,7 +46,7 @@
 	}
 	do(t, "GET", srv.URL+"/api/jobs/wk-1", nil)
 	do(t, "POST", srv.URL+"/api/jobs/wk-1/withdraw", nil)
-	want := []string{"submit", "poll", "withdraw"}
+	want := []wire.RequestKind{wire.Submit, wire.Poll, wire.Withdraw}
 	for i, u := range *asked {
 		if u.Kind != want[i] || (i > 0 && u.Ref != "wk-1") {
 			t.Errorf("request %d is %+v", i, u)
--- a/internal/api/connlimit.go
+++ b/internal/api/connlimit.go
@@ -9,11 +9,11 @@
 
 // connLimiter keeps the open connections below a number by closing idle ones.
 type connLimiter struct {
-	mu   sync.Mutex
-	limit int
-	open int
-	idle *list.List // connections, the one that has been idle longest first
-	byConn   map[net.Conn]*list.Element
+	mu     sync.Mutex
+	limit  int
+	open   int
+	idle   *list.List // connections, the one that has been idle longest first
+	byConn map[net.Conn]*list.Element
 }
 
 func newConnLimiter(most int) *connLimiter {
--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -13,22 +13,22 @@
 // it, no other batch of the same role is made; so a late copy of it can never
 // add to what a later one decides.
 type batch struct {
-	name    string
-	active  bool
-	waiting bool
-	unsure  bool // an earlier sending may yet be carried out
-	conds   []Cond
-	writes  []Write
-	extra   []Write // writes that belong together with others of the batch
-	until   uint64  // revision that our copy must reach
-	retryAt Time
-	onOK    func()
-	gen     uint64
+	name           string
+	active         bool
+	waiting        bool
+	outcomeUnknown bool // an earlier sending may yet be carried out
+	conds          []Cond
+	writes         []Write
+	extra          []Write // writes that belong together with others of the batch
+	until          uint64  // revision that our copy must reach
+	retryAt        Time
+	onOK           func()
+	gen            uint64
 }
 
 func (b *batch) start(n *Node, conds []Cond, writes, extra []Write, onOK func()) {
 	b.gen++
-	b.active, b.waiting, b.unsure, b.until = true, false, false, 0
+	b.active, b.waiting, b.outcomeUnknown, b.until = true, false, false, 0
 	b.conds, b.writes, b.extra, b.onOK = conds, writes, extra, onOK
 	b.send(n)
 }
@@ -41,7 +41,7 @@
 			return
 		}
 		b.waiting = false
-		n.log(0, "wrote", "role", b.name, "puts", len(b.writes), "outcome", int(c.Outcome))
+		n.log(LogDebug, "wrote", "role", b.name, "puts", len(b.writes), "outcome", int(c.Outcome))
 		switch c.Outcome {
 		case OK:
 			if b.onOK != nil && len(b.writes) > 0 {
@@ -49,8 +49,8 @@
 			}
 			b.until = max(c.Rev, 1)
 		case Conflict:
-			n.log(0, "commit lost a race", "role", b.name, "rev", c.Rev)
-			if b.without(c.Failed) {
+			n.log(LogDebug, "commit lost a race", "role", b.name, "rev", c.Rev)
+			if b.dropFailed(c.Failed) {
 				b.send(n)
 				return
 			}
@@ -58,7 +58,7 @@
 		case TooLarge:
 			// Never sent again as it is. Whether an earlier sending, before the
 			// limits fell, was carried out is told by its conditions alone.
-			if b.unsure && len(b.writes) > 0 {
+			if b.outcomeUnknown && len(b.writes) > 0 {
 				b.writes, b.extra = nil, nil
 				b.send(n)
 				return
@@ -66,12 +66,12 @@
 			b.active = false
 			b.retryAt = n.now + time.Second
 		case Refused, BadLease:
-			if !b.unsure {
+			if !b.outcomeUnknown {
 				b.active = false
 			}
 			b.retryAt = n.now + 400*time.Millisecond
 		default:
-			b.unsure = true
+			b.outcomeUnknown = true
 			b.retryAt = n.now + 300*time.Millisecond
 		}
 		b.settle(n)
@@ -96,12 +96,12 @@
 	return false
 }
 
-// without takes the records out of the batch that others have changed, so
+// dropFailed takes the records out of the batch that others have changed, so
 // that the rest need not wait for a new decision. It tells whether that can
 // be done: only records of jobs stand for themselves, and only in a batch that
-// was not sent before without an answer.
-func (b *batch) without(failed []string) bool {
-	if b.unsure || len(failed) == 0 || len(b.extra) > 0 {
+// was not sent before dropFailed an answer.
+func (b *batch) dropFailed(failed []string) bool {
+	if b.outcomeUnknown || len(failed) == 0 || len(b.extra) > 0 {
 		return false
 	}
 	for _, key := range failed {
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -1,19 +1,23 @@
 package core
 
-import "micaport/internal/wire"
+import (
+	"time"
+
+	"micaport/internal/wire"
+)
 
 // chain is what ties a job to those that it waits on and to those that wait on it.
 // A job waits for all that it names to be done, which is final; so nothing of a job
 // below a withdrawn one has ever run, and that it is withdrawn itself follows from
 // the records of those above it. Only jobs that have such ties have a chain.
 type chain struct {
-	needs      []int // jobs that it waits on and that were not done when it was submitted
-	dependents []int // jobs that wait on it
-	openNeeds       int   // needs that are not done
-	ancestorWithdrawn     bool  // a job that it needs, directly or through others, is withdrawn
-	readyAt    Time  // when our copy first showed all its needs done; 0: not yet
-	readyMS    int64 // the same as time of day
-	dueMS      int64 // when it should be done, so that what needs it can be in time; 0: no matter
+	needs             []int // jobs that it waits on and that were not done when it was submitted
+	dependents        []int // jobs that wait on it
+	openNeeds         int   // needs that are not done
+	ancestorWithdrawn bool  // a job that it needs, directly or through others, is withdrawn
+	readyAt           Time  // when our copy first showed all its needs done; 0: not yet
+	readyMS           int64 // the same as time of day
+	dueMS             int64 // when it should be done, so that what needs it can be in time; 0: no matter
 }
 
 // jobAt is the job with an id, also one whose record we have not seen.
@@ -33,7 +37,9 @@
 }
 
 // waits tells whether a job may not be granted anything yet, or ever.
-func (j *job) waits() bool { return j.chain != nil && (j.chain.openNeeds > 0 || j.chain.ancestorWithdrawn) }
+func (j *job) waits() bool {
+	return j.chain != nil && (j.chain.openNeeds > 0 || j.chain.ancestorWithdrawn)
+}
 
 // state is a job's state as it follows from all records.
 func (j *job) state() int {
@@ -51,7 +57,7 @@
 		if !complete {
 			// The list is written before the record that names it, so this can't
 			// happen. If it does, the job must not start.
-			n.log(2, "a record lacks its list of needs", "job", j.ref)
+			n.log(LogError, "a record lacks its list of needs", "job", j.ref)
 			c.openNeeds++
 		}
 		for _, ref := range refs {
@@ -89,7 +95,7 @@
 
 // stagePause is how soon the leader looks again when a stage of a chain may begin:
 // it may as well take in what else the same changes bring.
-const stagePause = 20 * 1e6
+const stagePause = 20 * time.Millisecond
 
 // notifyDependents tells the jobs that wait on one that it is done or withdrawn. What it costs
 // follows from how many they are.
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -108,7 +108,7 @@
 		see(n, 4, "wk-000003", wire.Withdrawn, nil)
 		see(n, 5, "wk-000004", wire.Live, nil, "wk-000003")
 		see(n, 6, "wk-000005", wire.Live, func(s *wire.Spec) { s.Shape = wire.ShapeDaemon })
-		r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", c.needs...)}, stored)
+		r, wrote := settle(n, UserRequest{Req: 1, Kind: wire.Submit, Body: submission("wk-000100", c.needs...)}, stored)
 		if r == nil || r.Status != c.status {
 			t.Errorf("%v: answered with %+v", c.needs, r)
 			continue
@@ -130,21 +130,21 @@
 func TestNothingNewBeforeAllAreUpgraded(t *testing.T) {
 	n := chained(Member{"n0", "a"}, Member{"n1", "a"})
 	see(n, 2, "wk-000001", wire.Live, nil)
-	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", "wk-000001")}, nil)
+	r, wrote := settle(n, UserRequest{Req: 1, Kind: wire.Submit, Body: submission("wk-000100", "wk-000001")}, nil)
 	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 || n.continuationKeys() > 0 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
 	}
 	// Nor is it handed to a peer, which may be of the version before.
 	n.storeOK = false
 	n.peers["n1"] = &peer{at: n.now, msg: &wire.Gossip{From: "n1", StoreOK: true}}
-	for _, e := range n.Step(n.now+1, UserRequest{Req: 3, Kind: "submit", Body: submission("wk-000100", "wk-000001")}) {
+	for _, e := range n.Step(n.now+1, UserRequest{Req: 3, Kind: wire.Submit, Body: submission("wk-000100", "wk-000001")}) {
 		if _, is := e.(Forward); is {
 			t.Error("handed on before all are upgraded")
 		}
 	}
 	n.storeOK = true
 	n.Step(n.now+1, Changes{Rev: 9, Events: []Event{{Key: wire.FormatPrefix + "n1", Rev: 9, Value: &wire.SupportedFormat{Format: 2}}}})
-	if r, wrote = settle(n, UserRequest{Req: 2, Kind: "submit", Body: submission("wk-000100", "wk-000001")}, nil); r == nil || r.Status != 201 || len(wrote) != 1 {
+	if r, wrote = settle(n, UserRequest{Req: 2, Kind: wire.Submit, Body: submission("wk-000100", "wk-000001")}, nil); r == nil || r.Status != 201 || len(wrote) != 1 {
 		t.Errorf("answered with %+v, wrote %+v", r, wrote)
 	}
 	// It never goes back.
@@ -173,7 +173,7 @@
 		t.Errorf("%d jobs were touched, not %d once each", len(n.derivedWithdrawals), 2*many-2)
 	}
 	for _, i := range []int{1, many - 1, many + 1, 2*many - 1} {
-		r, _ := settle(n, UserRequest{Req: uint64(i), Kind: "poll", Ref: name(i)}, nil)
+		r, _ := settle(n, UserRequest{Req: uint64(i), Kind: wire.Poll, Ref: name(i)}, nil)
 		if r == nil || r.Status != 200 || r.Body.(wire.JobStatus).Status != wire.StatusWithdrawn {
 			t.Errorf("%s: %+v", name(i), r)
 		}
@@ -196,7 +196,7 @@
 	}
 	queued := func() (out []string) {
 		for _, q := range n.queues() {
-			for _, w := range q.wants {
+			for _, w := range q.jobs {
 				out = append(out, w.j.ref)
 			}
 		}
@@ -230,7 +230,7 @@
 		}()...)
 	}
 	for ref, want := range map[string]string{"wk-000003": wire.StatusWithdrawn, "wk-000006": wire.StatusPending} {
-		got, wrote := settle(n, UserRequest{Req: 5, Kind: "submit", Body: submission(ref)}, stored)
+		got, wrote := settle(n, UserRequest{Req: 5, Kind: wire.Submit, Body: submission(ref)}, stored)
 		if got == nil || got.Status != 200 || got.Body.(wire.JobStatus).Status != want || len(wrote) > 0 {
 			t.Errorf("%s: %+v", ref, got)
 		}
--- a/internal/core/more.go
+++ b/internal/core/continuation.go
@@ -77,87 +77,123 @@
 	return out
 }
 
-// splitRecord shares the active tasks of a changed record out to its keys and gives the
-// writes that follow, the record's own first. What has a place keeps it, so that
-// few keys change. The first opaque further keys are left alone: their tasks are
-// not in rec.
-func (n *Node) splitRecord(ref string, was wire.Actives, wasMore, unknownKeys int, rec *wire.Job) []Write {
-	own := *rec
-	base := n.baseOf(rec)
-	room := func(key int) int {
-		if key == 1 {
-			return n.valueBytes() - base - rangeCost*len(rec.DoneSet)
-		}
-		return n.cfg.ValueBytes - continuationFrame
-	}
-	l := rec.Active
-	if !n.writesChains() || len(l) == 0 || wasMore == 0 && l.Cost() <= room(1) {
-		for i := range l {
-			l[i].StoredIn = 1
-		}
+// recordSplit shares the active tasks of a changed record out to its keys.
+type recordSplit struct {
+	n       *Node
+	ref     string
+	rec     *wire.Job
+	base    int          // bytes of the record without its lists
+	was     wire.Actives // the tasks as they stand in the keys now
+	wasKeys int          // the further keys that there are now
+	// The first further keys that are left alone: their tasks are not in rec.
+	unknownKeys int
+	cost        map[int]int // bytes of the tasks in each key
+}
+
+// splitRecord gives the writes that follow from a changed record, its own first. What
+// has a place keeps it, so that few keys change.
+func (n *Node) splitRecord(ref string, was wire.Actives, wasKeys, unknownKeys int, rec *wire.Job) []Write {
+	x := &recordSplit{n: n, ref: ref, rec: rec, base: n.baseOf(rec), was: was, wasKeys: wasKeys, unknownKeys: unknownKeys, cost: map[int]int{}}
+	tasks := rec.Active
+	if !n.writesChains() || len(tasks) == 0 || wasKeys == 0 && tasks.Cost() <= x.room(ownKey) {
+		x.moveAll()
+		own := *rec
 		own.Continuations = unknownKeys
-		if len(l) > 0 {
-			own.Active = l
-		}
-		return append([]Write{{Key: wire.JobKey(ref), Value: &own}}, dropContinuations(ref, unknownKeys+1, wasMore)...)
+		return append([]Write{{Key: wire.JobKey(ref), Value: &own}}, dropContinuations(ref, unknownKeys+1, wasKeys)...)
 	}
-	if unknownKeys == 0 && l.Cost() <= room(1)*3/4 {
-		for i := range l {
-			l[i].StoredIn = 1 // it fits one key again
-		}
+	if unknownKeys == 0 && tasks.Cost() <= x.room(ownKey)*3/4 {
+		x.moveAll() // it fits one key again
 	}
-	cost := map[int]int{}
-	last := wasMore + 1 + len(l) // ample: what is planned keeps to moreKeys
-	for key := 1; key <= wasMore+1; key++ {
-		held := tasksInKey(l, key)
-		for cost[key] = held.Cost(); cost[key] > room(key) && len(held) > 0; cost[key] = held.Cost() {
+	x.evictOverfull()
+	x.placeRest()
+	return x.writes()
+}
+
+// ownKey is the place of tasks that stand in the record itself; the further keys are
+// counted from the next number on.
+const ownKey = 1
+
+// room is how many bytes of tasks a key holds.
+func (x *recordSplit) room(key int) int {
+	if key == ownKey {
+		return x.n.valueBytes() - x.base - rangeCost*len(x.rec.DoneSet)
+	}
+	return x.n.cfg.ValueBytes - continuationFrame
+}
+
+// moveAll puts all tasks into the record itself.
+func (x *recordSplit) moveAll() {
+	for i := range x.rec.Active {
+		x.rec.Active[i].StoredIn = ownKey
+	}
+}
+
+// evictOverfull takes the last runs of tasks out of keys that can't hold them any more.
+func (x *recordSplit) evictOverfull() {
+	tasks := x.rec.Active
+	for key := ownKey; key <= x.wasKeys+1; key++ {
+		held := tasksInKey(tasks, key)
+		for x.cost[key] = held.Cost(); x.cost[key] > x.room(key) && len(held) > 0; x.cost[key] = held.Cost() {
 			from, _ := held.Run(len(held) - 1)
-			for i := range l {
-				if l[i].StoredIn == key && slices.ContainsFunc(held[from:], func(a wire.Active) bool { return a.Task == l[i].Task && a.Attempt == l[i].Attempt }) {
-					l[i].StoredIn = 0
+			for i := range tasks {
+				if tasks[i].StoredIn == key && slices.ContainsFunc(held[from:], func(a wire.Active) bool { return a.Task == tasks[i].Task && a.Attempt == tasks[i].Attempt }) {
+					tasks[i].StoredIn = 0
 				}
 			}
 			held = held[:from]
 		}
 	}
-	for at := 0; at < len(l); {
-		from, to := l.Run(at)
+}
+
+// placeRest puts tasks without a place into the first key with room.
+func (x *recordSplit) placeRest() {
+	tasks := x.rec.Active
+	last := x.wasKeys + 1 + len(tasks) // ample: what is planned keeps to continuationKeys
+	for at := 0; at < len(tasks); {
+		from, to := tasks.Run(at)
 		at = to
-		if l[from].StoredIn != 0 {
+		if tasks[from].StoredIn != 0 {
 			continue
 		}
-		need := wire.RunCost(l[from].Host) + wire.ListCost
-		key := 1
-		for key < last && (key > 1 && key <= unknownKeys+1 || cost[key]+need > room(key)) {
+		need := wire.RunCost(tasks[from].Host) + wire.ListCost
+		key := ownKey
+		for key < last && (x.isUnknown(key) || x.cost[key]+need > x.room(key)) {
 			key++
 		}
-		cost[key] += need
+		x.cost[key] += need
 		for i := from; i < to; i++ {
-			l[i].StoredIn = key
+			tasks[i].StoredIn = key
 		}
 	}
-	own.Continuations = unknownKeys
-	for _, a := range l {
+}
+
+func (x *recordSplit) isUnknown(key int) bool { return key > ownKey && key <= x.unknownKeys+1 }
+
+// writes gives the record and the further keys that change.
+func (x *recordSplit) writes() []Write {
+	own := *x.rec
+	own.Continuations = x.unknownKeys
+	for _, a := range x.rec.Active {
 		own.Continuations = max(own.Continuations, a.StoredIn-1)
 	}
-	own.Active = tasksInKey(l, 1)
-	out := []Write{{Key: wire.JobKey(ref), Value: &own}}
-	for k := unknownKeys + 1; k <= own.Continuations; k++ {
-		now := tasksInKey(l, k+1)
-		if k > wasMore && len(now) > 0 && sameTasks(now, n.continuations[ref][k]) {
-			continue // written ahead
-		}
-		if len(now) == 0 {
-			if len(tasksInKey(was, k+1)) > 0 { // a hole: an empty value keeps the count simple
-				out = append(out, Write{Key: wire.ContinuationKey(ref, k), Value: &wire.Continuation{}})
-			}
-			continue
+	own.Active = tasksInKey(x.rec.Active, ownKey)
+	out := []Write{{Key: wire.JobKey(x.ref), Value: &own}}
+	for k := x.unknownKeys + 1; k <= own.Continuations; k++ {
+		now, before := tasksInKey(x.rec.Active, k+1), tasksInKey(x.was, k+1)
+		var value *wire.Continuation
+		switch {
+		case k > x.wasKeys && len(now) > 0 && sameTasks(now, x.n.continuations[x.ref][k]):
+			// Written ahead.
+		case len(now) == 0 && len(before) > 0:
+			value = &wire.Continuation{} // a hole: an empty value keeps the count simple
+		case len(now) > 0 && !slices.Equal(now, before):
+			value = &wire.Continuation{Active: now}
 		}
-		if !slices.Equal(now, tasksInKey(was, k+1)) {
-			out = append(out, Write{Key: wire.ContinuationKey(ref, k), Value: &wire.Continuation{Active: now}})
+		if value != nil {
+			out = append(out, Write{Key: wire.ContinuationKey(x.ref, k), Value: value})
 		}
 	}
-	return append(out, dropContinuations(ref, own.Continuations+1, wasMore)...)
+	return append(out, dropContinuations(x.ref, own.Continuations+1, x.wasKeys)...)
 }
 
 // sameTasks compares what a key is to hold with what it holds.
--- a/internal/core/more_test.go
+++ b/internal/core/continuation_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -122,7 +123,7 @@
 	n.shrunk = false
 	named := 0
 	for range 400 {
-		d.now += 50 * 1e6
+		d.now += 50 * time.Millisecond
 		for _, e := range n.Step(d.now, Tick{}) {
 			if l, is := e.(Lease); is {
 				n.Step(d.now, Leased{ID: l.ID, Outcome: OK, Lease: max(l.Lease, 7)})
@@ -169,7 +170,7 @@
 		for i := range own {
 			rec.Active = append(rec.Active, wire.Active{Task: i, Attempt: 1, Host: "vm-1", Session: 1})
 		}
-		r, wrote := settle(n, UserRequest{Req: uint64(own + 1), Kind: "withdraw", Ref: "wk-000001"}, map[string]*wire.Job{"wk-000001": rec})
+		r, wrote := settle(n, UserRequest{Req: uint64(own + 1), Kind: wire.Withdraw, Ref: "wk-000001"}, map[string]*wire.Job{"wk-000001": rec})
 		if r == nil || r.Status != 200 || len(wrote) != 1 {
 			t.Fatalf("answered with %+v, wrote %+v", r, wrote)
 		}
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -44,7 +44,7 @@
 		return
 	}
 	n.agreed = agreed
-	n.log(1, "all controllers read a format", "format", agreed)
+	n.log(LogInfo, "all controllers read a format", "format", agreed)
 	for _, jx := range n.live {
 		if j := n.jobs[jx]; j.rec.Spec != nil {
 			n.measure(j)
--- a/internal/core/gather.go
+++ b/internal/core/gang_placement.go
@@ -7,12 +7,12 @@
 )
 
 // serveGang grants a whole gang or nothing.
-func (p *plan) serveGang(w *want) {
+func (p *plan) serveGang(w *queuedJob) {
 	j, sp := w.j, w.j.rec.Spec
 	if !p.quota(j, len(w.tasks)) {
 		// Its team's smaller jobs would take what becomes free of the limit
 		// for ever: after its patience the limit is kept for it.
-		p.blocked(j)
+		p.noteBlocked(j)
 		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience {
 			p.used[j.team].add(sp, float64(len(w.tasks)))
 		}
@@ -29,7 +29,7 @@
 		j.blockedSince = 0
 		return
 	}
-	p.blocked(j)
+	p.noteBlocked(j)
 	p.waiting += len(w.tasks)
 	if len(w.tasks) == 1 {
 		for _, s := range p.up.soon {
@@ -48,7 +48,7 @@
 
 // gangSlots chooses machines for a gang: from one part if any has the room,
 // else from one zone, else from anywhere unless the zone has to be one.
-func (p *plan) gangSlots(w *want) []*slot {
+func (p *plan) gangSlots(w *queuedJob) []*slot {
 	var best []*slot
 	bestScore := 0.0
 	try := func(in func(part, zone int) bool, penalty float64) {
@@ -95,7 +95,7 @@
 }
 
 // pick chooses greedily and undoes its taking.
-func (p *plan) pick(w *want, ok func(*slot) bool) ([]*slot, float64) {
+func (p *plan) pick(w *queuedJob, ok func(*slot) bool) ([]*slot, float64) {
 	sp := w.j.rec.Spec
 	var chosen []*slot
 	worst := 0.0
@@ -141,7 +141,7 @@
 // that costs least: it keeps what is free, about to be free or booting, hires,
 // stops work that it may stop, and as the last resort keeps machines from
 // being filled again until what runs there has ended.
-func (p *plan) awaitGang(w *want) {
+func (p *plan) awaitGang(w *queuedJob) {
 	sp := w.j.rec.Spec
 	mayEvict := p.mayPreempt(w)
 	var best *choice
@@ -185,7 +185,7 @@
 }
 
 // gather works out what a gang's room in a zone would cost.
-func (p *plan) gather(w *want, zone int, mayEvict bool) *choice {
+func (p *plan) gather(w *queuedJob, zone int, mayEvict bool) *choice {
 	sp := w.j.rec.Spec
 	c := &choice{zone: zone}
 	canHire := p.canHire(w.j, zone)
@@ -214,7 +214,7 @@
 	for _, s := range p.up.soon {
 		add(s, 0)
 	}
-	for _, s := range p.hope.all {
+	for _, s := range p.expected.all {
 		if len(all) >= 4*len(w.tasks) {
 			break
 		}
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -60,7 +61,7 @@
 
 // gossipPause is the least time between two messages: what happens at once on
 // many machines is told at once.
-const gossipPause = 150 * 1e6
+const gossipPause = 150 * time.Millisecond
 
 // seenBy is how far a peer has taken in what we tell of our machines. A peer
 // that says nothing of this life of ours is told everything.
@@ -348,7 +349,7 @@
 			continue
 		}
 		heard = true
-		if contains(p.msg.Strays, h.name) {
+		if slices.Contains(p.msg.Strays, h.name) {
 			return false
 		}
 	}
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -94,7 +95,7 @@
 	n.out = nil
 	n.changes(Changes{Rev: d.rev, Events: []Event{{Key: wire.JobKey("wk-000001"), Rev: d.rev, Value: j}}})
 	for range 100 {
-		d.now += 50 * 1e6
+		d.now += 50 * time.Millisecond
 		for _, e := range n.Step(d.now, Tick{}) {
 			c, is := e.(Commit)
 			if !is || len(c.Writes) == 0 || c.Writes[0].Key != wire.JobKey("wk-000001") {
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -162,7 +162,7 @@
 		if len(r.Hosts) < h.req.Count {
 			c.backoff[h.pool], c.short[h.pool] = n.now+noCapacityPause, n.now
 		}
-		n.log(1, "hired", "rig", h.req.Rig, "zone", h.req.Zone, "spot", h.req.Spot, "wanted", h.req.Count, "got", len(r.Hosts))
+		n.log(LogInfo, "hired", "rig", h.req.Rig, "zone", h.req.Zone, "spot", h.req.Spot, "wanted", h.req.Count, "got", len(r.Hosts))
 	case Full:
 		c.backoff[h.pool], c.short[h.pool] = n.now+noCapacityPause, n.now
 	case Refused:
@@ -229,8 +229,8 @@
 	}
 }
 
-// hopedFor adds machines that are on their way, as room to plan with.
-func (n *Node) hopedFor(p *plan) {
+// addExpected adds machines that are on their way, as room to plan with.
+func (n *Node) addExpected(p *plan) {
 	c := &n.leader.cloud
 	names := make([]string, 0, len(c.booting))
 	for name := range c.booting {
@@ -248,20 +248,20 @@
 				continue // plan without it
 			}
 		}
-		p.await(b.pool)
+		p.addExpectedMachine(b.pool)
 	}
 	for _, h := range c.hires {
 		for range h.req.Count {
-			p.await(h.pool)
+			p.addExpectedMachine(h.pool)
 		}
 	}
 }
 
-// await adds a machine that is to come.
-func (p *plan) await(x pool) *slot {
+// addExpectedMachine adds a machine that is to come.
+func (p *plan) addExpectedMachine(x pool) *slot {
 	s := p.n.newSlot(x)
 	if s != nil {
-		p.hope.add(s)
+		p.expected.add(s)
 		p.count[x]++
 	}
 	return s
@@ -282,15 +282,15 @@
 	return &slot{part: part, zone: x.zone, rig: x.rig, spot: x.spot, rigRef: r, cores: r.Cores, cards: r.Cards, mem: r.MemoryGB}
 }
 
-type priced struct {
+type pricedPool struct {
 	pool
 	price float64
 }
 
 // pools lists the pools that a job's tasks may be put on, cheapest first.
-func (p *plan) pools(j *job) []priced {
+func (p *plan) pools(j *job) []pricedPool {
 	n, sp := p.n, j.rec.Spec
-	list := make([]priced, 0, 8)
+	list := make([]pricedPool, 0, 8)
 	for ix, r := range n.flavors {
 		if r == nil || !fitsRig(sp, r) {
 			continue
@@ -301,14 +301,14 @@
 				continue
 			}
 			if r.SpotPrice > 0 && j.allows(ix, z, true) {
-				list = append(list, priced{pool{ix, z, true}, r.SpotPrice})
+				list = append(list, pricedPool{pool{ix, z, true}, r.SpotPrice})
 			}
 			if j.allows(ix, z, false) {
-				list = append(list, priced{pool{ix, z, false}, r.Price})
+				list = append(list, pricedPool{pool{ix, z, false}, r.Price})
 			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b priced) int {
+	slices.SortStableFunc(list, func(a, b pricedPool) int {
 		if a.price != b.price {
 			return cmp.Compare(a.price, b.price)
 		}
@@ -336,9 +336,9 @@
 const shortFor = 60 * second
 
 // hireFor adds a machine to be hired for a task, if there may be one.
-func (p *plan) hireFor(w *want, ok func(*slot) bool) *slot {
+func (p *plan) hireFor(w *queuedJob, ok func(*slot) bool) *slot {
 	n := p.n
-	if w.j.suspect || n.cfg.MaxMachines > 0 && len(p.up.all)+len(p.hope.all) >= n.cfg.MaxMachines {
+	if w.j.suspect || n.cfg.MaxMachines > 0 && len(p.up.all)+len(p.expected.all) >= n.cfg.MaxMachines {
 		return nil
 	}
 	for _, x := range p.pools(w.j) {
@@ -347,7 +347,7 @@
 		}
 		if s := n.newSlot(x.pool); s != nil && ok(s) {
 			p.hires[x.pool]++
-			return p.await(x.pool)
+			return p.addExpectedMachine(x.pool)
 		}
 	}
 	return nil
@@ -401,105 +401,3 @@
 // extraBoots bounds how many machines more are asked for in one call while
 // nothing runs.
 const extraBoots = 10
-
-// returnIdle picks machines that stood idle, are sick or are lost, and gives
-// them back once their owner has let go of them.
-func (n *Node) returnIdle(p *plan, idle map[*slot]bool) {
-	c := &n.leader.cloud
-	spares := map[pool]int{}
-	for _, s := range p.up.all {
-		h := s.h
-		unused := idle[s] && s.untouched() && !s.reserved
-		if !unused {
-			delete(c.idleFrom, h.name)
-			continue
-		}
-		if _, seen := c.idleFrom[h.name]; !seen {
-			c.idleFrom[h.name] = n.now
-		}
-		if s.errors > 0 {
-			// It failed a job and nothing has succeeded since: no spare.
-			if n.now-c.idleFrom[h.name] > min(10*second, n.cfg.IdleReturn) {
-				c.retiring[h.name] = true
-			}
-			continue
-		}
-		x := s.pool()
-		if spares[x]++; spares[x] <= n.cfg.Spares {
-			continue
-		}
-		if n.now-c.idleFrom[h.name] > n.cfg.IdleReturn {
-			c.retiring[h.name] = true
-		}
-	}
-	for _, y := range n.parts {
-		for _, h := range y.hosts {
-			if h.returned || !h.info.known {
-				continue
-			}
-			if h.info.lost || h.info.sick && len(h.on) == 0 {
-				c.retiring[h.name] = true
-			} else if len(h.on) > 0 && !h.retiring && c.retiring[h.name] {
-				delete(c.retiring, h.name) // its owner has placed something meanwhile
-			}
-		}
-	}
-	if c.giving || n.now < c.returnAt {
-		return
-	}
-	var give []string
-	for name := range c.retiring {
-		ix := n.hostIx.Find(name)
-		if ix >= 0 && n.hosts[ix].returned {
-			delete(c.retiring, name)
-			continue
-		}
-		if ix >= 0 && n.hosts[ix].info.known {
-			h := n.hosts[ix]
-			if !h.info.lost && !(h.retiring && len(h.on) == 0) {
-				continue
-			}
-		}
-		give = append(give, name)
-	}
-	if len(give) == 0 {
-		return
-	}
-	sort.Strings(give)
-	give = give[:min(len(give), 100)]
-	c.giving = true
-	term := n.leader.rev
-	n.cloudCall(Cloud{Return: give}, func(r Clouded) {
-		if r.Outcome == OK {
-			for _, name := range give {
-				n.hostOf(name).returned = true
-			}
-		}
-		if n.leader.rev != term {
-			return
-		}
-		c.giving = false
-		if r.Outcome != OK {
-			c.returnAt = n.now + 2*second
-			return
-		}
-		for _, name := range give {
-			delete(c.retiring, name)
-			delete(c.booting, name)
-			delete(c.stray, name)
-			n.leader.returned = append(n.leader.returned, returned{name, n.now})
-		}
-		n.log(1, "returned", "hosts", give)
-		n.gossip(true)
-	})
-}
-
-// retireList names the machines that owners are to empty for return.
-func (l *leaderState) retireList(n *Node) []string {
-	var out []string
-	for name := range l.cloud.retiring {
-		out = append(out, name)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"micaport/internal/wire"
 )
@@ -60,17 +59,9 @@
 	if rec != nil {
 		n.assemble(ref, rec)
 	}
-	if n.loaded && rec != nil && (j.rec == nil || j.rec.State == wire.Live && rec.State == wire.Withdrawn) {
-		n.budget.seenUserWrites++
-	}
+	n.countJobChange(j, rec)
 	if j.rec != nil {
 		n.unindex(j)
-		if rec == nil || rec.State != wire.Live {
-			n.noteEnd(j.rec)
-		}
-		if rec != nil && rec.State == wire.Done && j.rec.State == wire.Live {
-			n.noteRunTime(j, j.rec)
-		}
 	}
 	if rec != nil && rec.State != wire.Live && len(rec.Active) == 0 && len(rec.DoneSet) == 0 {
 		rec = n.sameFinished(rec)
@@ -80,14 +71,7 @@
 		n.setLive(j, false)
 		return
 	}
-	if rec.State != wire.Live && j.closedAt == 0 {
-		// Our copy may have lagged behind. What it knew at the last proof that
-		// has settled did not hold this change, so it was made after that was sent.
-		j.closedAt = n.now
-		if n.provenAt > 0 {
-			j.closedAt = n.provenAt
-		}
-	}
+	n.noteClosed(j)
 	if rec.Spec != nil && j.image < 0 {
 		n.describe(j, rec.Spec)
 		if n.loaded && !rec.Waits() {
@@ -95,16 +79,7 @@
 		}
 	}
 	n.notifyDependents(j)
-	if rec.Errors > j.errorsSeen && rec.Errors >= 3 {
-		// A job that fails everywhere waits longer each time.
-		j.notBefore = n.now + min(Time(1<<min(rec.Errors-3, 5))*5*second, 120*second)
-	}
-	j.errorsSeen = rec.Errors
-	if rec.Errors >= 3 && len(rec.Avoid) >= 3 && len(rec.DoneSet) == 0 {
-		j.suspect = true
-	} else if rec.State == wire.Done || len(rec.DoneSet) > 0 {
-		j.suspect = false
-	}
+	n.noteErrors(j)
 	j.unplaced = 0
 	for i := range rec.Active {
 		if rec.Active[i].Host == "" {
@@ -115,10 +90,66 @@
 	n.setLive(j, rec.State == wire.Live || len(rec.Active) > 0)
 }
 
+// countJobChange takes a change of a job's record into the statistics: of users'
+// writes, of what ends, and of how long jobs take.
+func (n *Node) countJobChange(j *job, rec *wire.Job) {
+	was := j.rec
+	if n.loaded && rec != nil && (was == nil || was.State == wire.Live && rec.State == wire.Withdrawn) {
+		n.budget.seenUserWrites++
+	}
+	if was == nil {
+		return
+	}
+	if rec == nil || rec.State != wire.Live {
+		n.noteEnd(was)
+	}
+	if rec != nil && rec.State == wire.Done && was.State == wire.Live {
+		n.noteRunTime(j, was)
+	}
+}
+
+// noteClosed notes since when a job is recorded as done or withdrawn. Our copy may have
+// lagged behind. What it knew at the last proof that has settled did not hold this
+// change, so it was made after that was sent.
+func (n *Node) noteClosed(j *job) {
+	if j.rec.State == wire.Live || j.closedAt != 0 {
+		return
+	}
+	j.closedAt = n.now
+	if n.provenAt > 0 {
+		j.closedAt = n.provenAt
+	}
+}
+
+// Pauses of a job that fails wherever it runs, and the machines after which it counts
+// as such.
+const (
+	errorsBeforePause = 3
+	firstErrorPause   = 5 * second
+	longestErrorPause = 120 * second
+	maxPauseDoublings = 5
+)
+
+// noteErrors makes a job that fails everywhere wait, longer each time, and suspects the
+// job rather than the machines.
+func (n *Node) noteErrors(j *job) {
+	rec := j.rec
+	if rec.Errors > j.errorsSeen && rec.Errors >= errorsBeforePause {
+		doublings := min(rec.Errors-errorsBeforePause, maxPauseDoublings)
+		j.notBefore = n.now + min(firstErrorPause<<doublings, longestErrorPause)
+	}
+	j.errorsSeen = rec.Errors
+	if rec.Errors >= errorsBeforePause && len(rec.Avoid) >= errorsBeforePause && len(rec.DoneSet) == 0 {
+		j.suspect = true
+	} else if rec.State == wire.Done || len(rec.DoneSet) > 0 {
+		j.suspect = false
+	}
+}
+
 // sameFinished gives one record for all finished jobs that have nothing left to
 // tell them apart: they are kept for ever, and there are very many.
 func (n *Node) sameFinished(rec *wire.Job) *wire.Job {
-	key := [2]int{rec.State, rec.Frames}
+	key := finishedKind{rec.State, rec.Frames}
 	if have := n.finished[key]; have != nil {
 		return have
 	}
@@ -196,44 +227,10 @@
 	return &c
 }
 
-// addDone adds a task to sorted half-open ranges.
-func addDone(set [][2]int, task int) [][2]int {
-	i := sort.Search(len(set), func(i int) bool { return set[i][1] >= task })
-	if i < len(set) && set[i][0] <= task && task < set[i][1] {
-		return set
-	}
-	switch {
-	case i < len(set) && set[i][1] == task:
-		set[i][1]++
-		if i+1 < len(set) && set[i+1][0] == task+1 {
-			set[i][1] = set[i+1][1]
-			set = slices.Delete(set, i+1, i+2)
-		}
-	case i < len(set) && set[i][0] == task+1:
-		set[i][0]--
-	default:
-		set = slices.Insert(set, i, [2]int{task, task + 1})
-	}
-	return set
-}
-
-func isDone(set [][2]int, task int) bool {
-	i := sort.Search(len(set), func(i int) bool { return set[i][1] > task })
-	return i < len(set) && set[i][0] <= task
-}
-
-func countDone(set [][2]int) int {
-	c := 0
-	for _, r := range set {
-		c += r[1] - r[0]
-	}
-	return c
-}
-
 // tidy closes a finished record: the state follows from the done tasks, and
 // the specification is dropped once no task charges the team any more.
 func tidy(r *wire.Job) {
-	if r.State == wire.Live && countDone(r.DoneSet) == r.Frames {
+	if r.State == wire.Live && r.DoneSet.Count() == r.Frames {
 		r.State = wire.Done
 	}
 	if r.State != wire.Live && len(r.Active) == 0 && r.Continuations == 0 {
@@ -246,7 +243,7 @@
 
 // status is what a user is told.
 func status(ref string, r *wire.Job) wire.JobStatus {
-	s := wire.JobStatus{Ref: ref, Status: wire.StatusPending, Done: countDone(r.DoneSet)}
+	s := wire.JobStatus{Ref: ref, Status: wire.StatusPending, Done: r.DoneSet.Count()}
 	switch r.State {
 	case wire.Done:
 		return wire.JobStatus{Ref: ref, Status: wire.StatusDone, Done: r.Frames}
@@ -286,8 +283,8 @@
 	var out []int
 	next, ri := 0, 0
 	for next < r.Frames && len(out) < limit {
-		if ri < len(r.DoneSet) && r.DoneSet[ri][0] <= next {
-			next = r.DoneSet[ri][1]
+		if ri < len(r.DoneSet) && r.DoneSet[ri].First <= next {
+			next = r.DoneSet[ri].End
 			ri++
 			continue
 		}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -70,10 +71,10 @@
 	n.leader.rec, n.leader.rev, n.leader.since = rec, rev, n.now
 	if n.leads() {
 		n.leader.reset()
-		n.log(1, "leading", "term", rev)
+		n.log(LogInfo, "leading", "term", rev)
 	} else if led {
 		n.leader.reset()
-		n.log(1, "no longer leading")
+		n.log(LogInfo, "no longer leading")
 	}
 }
 
@@ -96,7 +97,7 @@
 		return
 	}
 	if l.rec == nil {
-		wait := Time(n.rank()) * 400 * 1e6
+		wait := Time(n.rank()) * 400 * time.Millisecond
 		if n.isolated() {
 			wait += 5 * second // let one that reaches more of the world have it
 		}
@@ -104,7 +105,7 @@
 			return
 		}
 	}
-	n.leadAt = n.now + 500*1e6
+	n.leadAt = n.now + 500*time.Millisecond
 	n.ledUnder = n.leadLease.id
 	rev := l.rev
 	if l.rec == nil {
@@ -154,7 +155,7 @@
 	for _, p := range n.peers {
 		if n.now-p.at < 8*second && p.msg.StoreOK && !p.msg.CutOff {
 			n.resignAt = n.now + 10*second
-			n.log(1, "giving the leadership up: cut off")
+			n.log(LogInfo, "giving the leadership up: cut off")
 			// From here on we don't lead, even if our watch hangs and never
 			// shows it; only a refusal says that we still do.
 			n.resigned = n.leader.rev
@@ -181,7 +182,7 @@
 	if n.now-n.leadLease.sent > n.leadLease.ttl || n.leadLease.id != n.ledUnder {
 		return
 	}
-	if n.wokeAt > 0 && n.now-n.wokeAt < 2*second {
+	if n.resumedAt > 0 && n.now-n.resumedAt < 2*second {
 		return // the peers tell every second
 	}
 	n.cloudTick()
@@ -189,7 +190,7 @@
 		return
 	}
 	// First hear from the owners what there is.
-	if n.now-l.since < 700*1e6 {
+	if n.now-l.since < 700*time.Millisecond {
 		return
 	}
 	if !l.batch.ready(n) {
@@ -197,7 +198,7 @@
 	}
 	// A pass looks at every unfinished job and every machine, if briefly; with
 	// thousands of them the share of a core that we have allows fewer passes.
-	l.at = n.now + 120*1e6 + Time(len(n.live))*300*1e3 + Time(n.machines())*100*1e3
+	l.at = n.now + 120*time.Millisecond + Time(len(n.live))*300*time.Microsecond + Time(n.machines())*100*time.Microsecond
 	l.dirty, l.placing = false, nil
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
@@ -208,7 +209,7 @@
 	left := n.plan(w)
 	n.recordWithdrawals(w)
 	n.budget.pendingGrants = len(w.order) + left
-	n.log(0, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
+	n.log(LogDebug, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
 }
 
@@ -261,37 +262,37 @@
 	return n.holds(p) || owner != nil && n.now-owner.at < 5*second
 }
 
-// use is what a team's tasks take.
-type use struct{ cores, cards float64 }
+// usage is what a team's tasks take.
+type usage struct{ cores, cards float64 }
 
-func (u *use) add(sp *wire.Spec, k float64) {
+func (u *usage) add(sp *wire.Spec, k float64) {
 	u.cores += sp.Cores * k
 	u.cards += sp.Cards * k
 }
 
 // plan holds the state of one planning pass.
 type plan struct {
-	n       *Node
-	w       *writer
-	up      *slotSet // machines up
-	hope    *slotSet // machines booting, hired or to be hired
-	used    []use    // by team
-	hires   map[pool]int
-	count   map[pool]int // machines of each pool, up, coming or planned
-	starved *want        // the gang that gathers room before all others
-	kept    []wire.Kept  // for it
-	misses  []miss       // demands that found no free room in this pass
-	spares  bool         // some work is to fill what is spare
-	left    int          // grants that found no put, at most 50
-	stops   int
-	waiting int // tasks for which there was no room
+	n           *Node
+	w           *writer
+	up          *slotSet // machines up
+	expected    *slotSet // machines booting, hired or to be hired
+	used        []usage  // by team
+	hires       map[pool]int
+	count       map[pool]int  // machines of each pool, up, coming or planned
+	starved     *queuedJob    // the gang that gathers room before all others
+	kept        []wire.Kept   // for it
+	unmet       []unmetDemand // demands that found no free room in this pass
+	hasBackfill bool          // some work is to fill what is spare
+	ungranted   int           // grants that found no put, at most 50
+	stops       int
+	waiting     int // tasks for which there was no room
 }
 
 // plan grants waiting tasks to parts, in the order of the queue, and works
 // out what to hire, stop and return. It tells how many jobs were left for want
 // of puts.
 func (n *Node) plan(w *writer) int {
-	p := &plan{n: n, w: w, up: newSlotSet(n), hope: newSlotSet(n), used: make([]use, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{}}
+	p := &plan{n: n, w: w, up: newSlotSet(n), expected: newSlotSet(n), used: make([]usage, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{}}
 	for _, x := range n.parts {
 		for _, h := range x.hosts {
 			n.work++
@@ -309,9 +310,9 @@
 		p.used[j.team].add(j.rec.Spec, float64(len(j.rec.Active)))
 	}
 	p.chargeGrants()
-	n.hopedFor(p)
+	n.addExpected(p)
 	idle := p.idleSlots()
-	qs, spares := p.apart(n.queues())
+	qs, spares := p.splitBackfill(n.queues())
 	left := p.serveQueues(qs)
 	if !slices.Equal(p.kept, n.leader.kept) {
 		n.leader.kept = p.kept
@@ -320,7 +321,7 @@
 	p.planStages()
 	p.keepReserve()
 	// What fills spare room must not claim the puts that others need.
-	left += (p.serveQueues(spares) - left) / sparesShare
+	left += (p.serveQueues(spares) - left) / backfillShare
 	idleSpot, spot, half := 0, 0, 0
 	for _, s := range p.up.all {
 		switch {
@@ -333,14 +334,14 @@
 			spot++
 		}
 	}
-	n.log(0, "room", "up", len(p.up.all), "spot", spot, "idle", len(idle), "idle_spot", idleSpot, "partly_free", half, "coming", len(p.hope.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
+	n.log(LogDebug, "room", "up", len(p.up.all), "spot", spot, "idle", len(idle), "idle_spot", idleSpot, "partly_free", half, "coming", len(p.expected.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
 	n.hireAndReturn(p, idle)
 	return left
 }
 
-// sparesShare is how many grants of spare work that found no put count as one when
+// backfillShare is how many grants of spare work that found no put count as one when
 // the puts are shared.
-const sparesShare = 3
+const backfillShare = 3
 
 // chargeGrants takes room for grants that their owners have not placed yet.
 func (p *plan) chargeGrants() {
@@ -417,7 +418,7 @@
 	n := p.n
 	rec := p.w.job(j)
 	if rec == nil {
-		p.left = min(p.left+1, 50)
+		p.ungranted = min(p.ungranted+1, 50)
 		return false
 	}
 	was := rec.Next
@@ -452,7 +453,7 @@
 		if !p.w.also(Write{Key: key, Value: g}, Cond{key, 0}) {
 			rec.Active, rec.Next = rec.Active[:len(rec.Active)-len(tasks)], was
 			delete(p.w.tries, j.ix)
-			p.left = min(p.left+1, 50)
+			p.ungranted = min(p.ungranted+1, 50)
 			return false
 		}
 	}
@@ -461,7 +462,7 @@
 	if len(n.leader.hint) > 4096+4*n.cfg.BulkTasks {
 		clear(n.leader.hint)
 	}
-	n.log(0, "granted", "job", j.ref, "attempt", attempt, "tasks", len(tasks), "part", n.parts[slots[0].part].name)
+	n.log(LogDebug, "granted", "job", j.ref, "attempt", attempt, "tasks", len(tasks), "part", n.parts[slots[0].part].name)
 	return true
 }
 
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -19,7 +19,7 @@
 	n.putLeader(&wire.Leader{Node: "n0", Life: "x"}, 5)
 	d.put(&wire.Job{Frames: 1, Next: 1, Spec: &wire.Spec{Ref: "wk-000001", Team: "t", Shape: wire.ShapeArray, Frames: 1, Image: "i"}})
 	j := n.jobNamed("wk-000001")
-	n.leader.batch = batch{name: "leader", active: true, unsure: true, writes: []Write{{Key: wire.JobKey(j.ref), Value: j.rec}}}
+	n.leader.batch = batch{name: "leader", active: true, outcomeUnknown: true, writes: []Write{{Key: wire.JobKey(j.ref), Value: j.rec}}}
 	if !n.leader.batch.holds(j) || !n.leads() {
 		t.Fatal("the leader's commit is not under way")
 	}
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -207,63 +207,83 @@
 	return withdrawn, nil
 }
 
+// ancestorSearch reads the records above a job until one is found withdrawn or all are
+// known.
+type ancestorSearch struct {
+	n    *Node
+	op   *userOp
+	rec  *wire.Job // of the job that the request names
+	seen map[string]bool
+	left []string // jobs that are still to be looked at
+}
+
 // answerFromAbove answers for a job that is live by its own record but waits on
-// others, of which our copy may lag: they are read, up the chain, until one is found
-// withdrawn or all are known.
+// others, of which our copy may lag: they are read, up the chain.
 func (n *Node) answerFromAbove(op *userOp, rec *wire.Job) {
-	seen := map[string]bool{}
-	var list []string
-	add := func(refs []string) {
-		for _, r := range refs {
-			if !seen[r] {
-				seen[r] = true
-				list = append(list, r)
-			}
-		}
+	search := &ancestorSearch{n: n, op: op, rec: rec, seen: map[string]bool{}}
+	if search.add(op.Ref, rec) {
+		search.next()
 	}
-	refs, complete := n.needsOf(op.Ref, rec)
+}
+
+// add takes in what a job waits on, or answers the request where that is not known.
+func (s *ancestorSearch) add(ref string, rec *wire.Job) bool {
+	refs, complete := s.n.needsOf(ref, rec)
 	if !complete {
-		n.later(op, "the records of the jobs that it waits on are not known yet")
-		return
+		s.n.later(s.op, "the records of the jobs that it waits on are not known yet")
+		return false
 	}
-	add(refs)
-	var next func()
-	next = func() {
-		for len(list) > 0 {
-			ref := list[len(list)-1]
-			list = list[:len(list)-1]
-			if j := n.jobNamed(ref); j != nil && j.rec != nil && j.state() != wire.Live {
-				if j.state() == wire.Withdrawn {
-					n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn})
-					return
-				}
-				continue // done is final
-			}
-			id := n.id(func(in any) {
-				g := in.(GotJob)
-				n.storeHeard(g.Outcome)
-				switch {
-				case g.Outcome == OK && g.Job.State == wire.Withdrawn:
-					n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn})
-				case g.Outcome == OK && g.Job.State == wire.Live && g.Job.Waits():
-					refs, complete := n.needsOf(ref, g.Job)
-					if !complete {
-						n.later(op, "the records of the jobs that it waits on are not known yet")
-						return
-					}
-					add(refs)
-					next()
-				case g.Outcome == OK:
-					next()
-				case n.retry(op, g.Outcome):
-					list = append(list, ref)
-					next()
-				}
-			})
-			n.emit(Read{ID: id, Ref: ref})
+	for _, need := range refs {
+		if !s.seen[need] {
+			s.seen[need] = true
+			s.left = append(s.left, need)
+		}
+	}
+	return true
+}
+
+// next goes on with the jobs that are left, or answers.
+func (s *ancestorSearch) next() {
+	n := s.n
+	for len(s.left) > 0 {
+		ref := s.left[len(s.left)-1]
+		s.left = s.left[:len(s.left)-1]
+		j := n.jobNamed(ref)
+		if j == nil || j.rec == nil || j.state() == wire.Live {
+			s.read(ref)
+			return
+		}
+		if j.state() == wire.Withdrawn {
+			s.answerWithdrawn()
 			return
 		}
-		n.answer(op, 200, status(op.Ref, rec))
 	}
-	next()
+	n.answer(s.op, 200, status(s.op.Ref, s.rec))
+}
+
+// read reads the record of a job above.
+func (s *ancestorSearch) read(ref string) {
+	n := s.n
+	id := n.id(func(in any) {
+		g := in.(GotJob)
+		n.storeHeard(g.Outcome)
+		switch {
+		case g.Outcome == OK && g.Job.State == wire.Withdrawn:
+			s.answerWithdrawn()
+		case g.Outcome == OK && g.Job.State == wire.Live && g.Job.Waits():
+			if s.add(ref, g.Job) {
+				s.next()
+			}
+		case g.Outcome == OK:
+			s.next()
+		case n.retry(s.op, g.Outcome):
+			s.left = append(s.left, ref)
+			s.next()
+		}
+	})
+	n.emit(Read{ID: id, Ref: ref})
+}
+
+func (s *ancestorSearch) answerWithdrawn() {
+	s.n.answer(s.op, 200, wire.JobStatus{Ref: s.op.Ref, Status: wire.StatusWithdrawn})
 }
--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -40,7 +40,7 @@
 	const count = 900
 	n := smallValues()
 	refs := manyNeeds(n, count)
-	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", refs...)}, nil)
+	r, wrote := settle(n, UserRequest{Req: 1, Kind: wire.Submit, Body: submission("wk-000100", refs...)}, nil)
 	if r == nil || r.Status != 201 {
 		t.Fatalf("answered with %+v", r)
 	}
@@ -82,7 +82,7 @@
 	n := smallValues()
 	refs := manyNeeds(n, 900)
 	submit := func(req uint64, allowed int) (reply *Reply, wrote []Write) {
-		inputs := []any{any(UserRequest{Req: req, Kind: "submit", Body: submission("wk-000100", refs...)})}
+		inputs := []any{any(UserRequest{Req: req, Kind: wire.Submit, Body: submission("wk-000100", refs...)})}
 		for len(inputs) > 0 {
 			in := inputs[0]
 			inputs = inputs[1:]
@@ -138,16 +138,16 @@
 	reads(5, "n0", wire.Format)
 	reads(6, "n1", wire.FormatChains)
 	refs := manyNeeds(n, 300)
-	r, wrote := settle(n, UserRequest{Req: 1, Kind: "submit", Body: submission("wk-000100", refs...)}, nil)
+	r, wrote := settle(n, UserRequest{Req: 1, Kind: wire.Submit, Body: submission("wk-000100", refs...)}, nil)
 	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 {
 		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
 	}
-	r, wrote = settle(n, UserRequest{Req: 2, Kind: "submit", Body: submission("wk-000101", refs[:5]...)}, nil)
+	r, wrote = settle(n, UserRequest{Req: 2, Kind: wire.Submit, Body: submission("wk-000101", refs[:5]...)}, nil)
 	if r == nil || r.Status != 201 || len(wrote) != 1 {
 		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
 	}
 	reads(2000, "n1", wire.Format)
-	if r, _ = settle(n, UserRequest{Req: 3, Kind: "submit", Body: submission("wk-000100", refs...)}, nil); r == nil || r.Status != 201 {
+	if r, _ = settle(n, UserRequest{Req: 3, Kind: wire.Submit, Body: submission("wk-000100", refs...)}, nil); r == nil || r.Status != 201 {
 		t.Errorf("answered with %+v", r)
 	}
 }
@@ -157,8 +157,24 @@
 func TestUnknownListIsNotAnswered(t *testing.T) {
 	n := smallValues()
 	stored := map[string]*wire.Job{"wk-000100": {Frames: 1, Spec: &wire.Spec{Shape: wire.ShapeArray}, NeedsList: "x", NeedsKeys: 2}}
-	r, _ := settle(n, UserRequest{Req: 1, Kind: "submit", Body: []byte{0x81, 0xa3, 'r', 'e', 'f', 0xa9, 'w', 'k', '-', '0', '0', '0', '1', '0', '0'}}, stored)
+	r, _ := settle(n, UserRequest{Req: 1, Kind: wire.Submit, Body: []byte{0x81, 0xa3, 'r', 'e', 'f', 0xa9, 'w', 'k', '-', '0', '0', '0', '1', '0', '0'}}, stored)
 	if r == nil || r.Status != 503 || r.RetryS == 0 {
 		t.Errorf("answered with %+v", r)
 	}
 }
+
+// A record whose list is incomplete can't come about. If one does, its job waits for
+// good rather than start too early.
+func TestIncompleteListDoesNotStart(t *testing.T) {
+	n := smallValues()
+	spec := &wire.Spec{Ref: "wk-000100", Team: "t", Shape: wire.ShapeArray, Frames: 1}
+	rec := &wire.Job{Spec: spec, Frames: 1, Next: 1, NeedsList: "x", NeedsKeys: 2}
+	see(n, 9, "wk-000001", wire.Done, nil)
+	n.Step(n.now+1, Changes{Rev: 11, Events: []Event{
+		{Key: wire.NeedsKey("wk-000100", "x", 1), Rev: 10, Value: &wire.Needs{Refs: []string{"wk-000001"}}},
+		{Key: wire.JobKey("wk-000100"), Rev: 11, Value: rec},
+	}})
+	if !n.jobNamed("wk-000100").waits() {
+		t.Error("a job without all its needs may start")
+	}
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -28,14 +29,14 @@
 		}
 		// Two jobs failing here, or one that runs elsewhere, speak against
 		// the machine rather than the job.
-		if n.errorsOn(h) >= 2 || countDone(j.rec.DoneSet) > 0 {
+		if n.errorsOn(h) >= 2 || j.rec.DoneSet.Count() > 0 {
 			h.sick = true
 		}
 		n.ownInfoAt = 0 // before more is granted to it
 	case wire.CauseFull:
 		h.fullUntil = n.now + 2*n.cfg.Report
 	}
-	n.log(0, "task ended", "job", j.ref, "task", k.task, "attempt", k.attempt, "host", h.name, "cause", t.Cause)
+	n.log(LogDebug, "task ended", "job", j.ref, "task", k.task, "attempt", k.attempt, "host", h.name, "cause", t.Cause)
 }
 
 // errorsOn counts the jobs that failed on a machine since something last succeeded
@@ -45,7 +46,7 @@
 func (n *Node) errorsOn(h *host) int {
 	c := 0
 	for jx := range h.errJobs {
-		c += b2i(!n.jobs[jx].suspect)
+		c += boolToInt(!n.jobs[jx].suspect)
 	}
 	return c
 }
@@ -65,7 +66,7 @@
 	if n.now < n.ownerAt {
 		return
 	}
-	n.ownerAt = n.now + 60*1e6 + Time(len(n.live))*20*1e3
+	n.ownerAt = n.now + 60*time.Millisecond + Time(len(n.live))*20*time.Microsecond
 	anyValid := false
 	for _, p := range n.parts {
 		if n.valid(p) {
@@ -108,7 +109,7 @@
 			k := h.on[i].taskKey
 			if _, known := n.results[k]; !known && h.on[i].part == p.ix {
 				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
-				n.log(1, "task lost with its machine", "job", n.jobs[k.job].ref, "task", k.task, "host", h.name)
+				n.log(LogInfo, "task lost with its machine", "job", n.jobs[k.job].ref, "task", k.task, "host", h.name)
 			}
 		}
 	}
@@ -167,7 +168,7 @@
 			oldest[k.job] = n.results[k].at
 		}
 	}
-	slack := newSlack(n, w)
+	slack := newRecordRoom(n, w)
 	for _, k := range keys {
 		res := n.results[k]
 		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil || n.leader.batch.holds(n.jobs[k.job]) {
@@ -179,7 +180,7 @@
 			!h.token && n.now-h.heard < sessionPause {
 			continue
 		}
-		if n.now-oldest[k.job] < n.gatherFor(n.jobs[k.job]) {
+		if n.now-oldest[k.job] < n.resultDelay(n.jobs[k.job]) {
 			continue
 		}
 		a := n.active(k, res.host)
@@ -226,7 +227,7 @@
 	}
 	s.take(rec.Spec)
 	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: w.attempt(j, rec), Part: was.Part, Host: s.h.name, Session: s.h.session})
-	n.log(0, "placed anew", "job", j.ref, "task", was.Task, "host", s.h.name)
+	n.log(LogDebug, "placed anew", "job", j.ref, "task", was.Task, "host", s.h.name)
 }
 
 // finish takes a task that is gone out of its record.
@@ -240,14 +241,14 @@
 		rec.Errors, rec.Avoid = 0, nil
 		if gang {
 			// The tasks of a gang complete together.
-			rec.DoneSet = [][2]int{{0, rec.Frames}}
+			rec.DoneSet = wire.Range(0, rec.Frames)
 		} else if rec.Spec.Shape == wire.ShapeArray {
-			rec.DoneSet = addDone(rec.DoneSet, k.task)
+			rec.DoneSet = rec.DoneSet.With(k.task)
 		}
 		return
 	case res.cause == wire.CauseError:
 		rec.Errors++
-		if !contains(rec.Avoid, res.host) {
+		if !slices.Contains(rec.Avoid, res.host) {
 			rec.Avoid = append(rec.Avoid, res.host)
 		}
 		if len(rec.Avoid) > 4 {
@@ -369,7 +370,7 @@
 
 // grantPatience is how long an owner looks for room for a grant before it
 // gives it back.
-const grantPatience = 2500 * 1e6
+const grantPatience = 2500 * time.Millisecond
 
 func (n *Node) placeJob(w *writer, j *job, slots *slotSet) {
 	sp := j.rec.Spec
@@ -383,7 +384,7 @@
 		n.placeGang(w, j, slots)
 		return
 	}
-	slack := newSlack(n, w)
+	slack := newRecordRoom(n, w)
 	var s *slot
 	for i := range j.rec.Active {
 		a := &j.rec.Active[i]
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 	"sort"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -45,7 +46,7 @@
 		if len(n.parts) == before {
 			add("-", "")
 		}
-		n.zoneParts = append(n.zoneParts, [2]int{before, len(n.parts) - before})
+		n.zoneParts = append(n.zoneParts, partRange{before, len(n.parts) - before})
 	}
 }
 
@@ -64,7 +65,7 @@
 	v ^= v >> 33
 	v *= 0xc4ceb9fe1a85ec53
 	v ^= v >> 33
-	return n.zoneParts[zone][0] + int(v%uint64(n.zoneParts[zone][1]))
+	return n.zoneParts[zone].first + int(v%uint64(n.zoneParts[zone].count))
 }
 
 func (n *Node) partNamed(key string) *part {
@@ -99,9 +100,9 @@
 		// answer.
 		p.bound = max(n.now, p.until)
 		n.checkAt = 0
-		n.log(1, "part claimed", "part", p.name, "term", rev)
+		n.log(LogInfo, "part claimed", "part", p.name, "term", rev)
 	} else if was != nil && was.Owner == n.cfg.Self && was.Life == n.cfg.Life {
-		n.log(1, "part lost", "part", p.name)
+		n.log(LogInfo, "part lost", "part", p.name)
 	}
 }
 
@@ -140,7 +141,7 @@
 		return
 	}
 	for _, p := range n.parts {
-		if n.holds(p) || n.now < p.claimAt() || n.now < p.askedAt+200*1e6 {
+		if n.holds(p) || n.now < p.claimAt() || n.now < p.askedAt+200*time.Millisecond {
 			continue
 		}
 		p.askedAt = n.now
@@ -164,7 +165,7 @@
 }
 
 // claimAt spaces claims of one part.
-func (p *part) claimAt() Time { return p.since + 300*1e6 }
+func (p *part) claimAt() Time { return p.since + 300*time.Millisecond }
 
 func (n *Node) mayClaim(p *part) bool {
 	waited := n.now - p.since
@@ -209,13 +210,13 @@
 	}
 	switch {
 	case bounced >= need && n.now-first > 2*second+wait && waited > 10*second:
-		n.log(1, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
+		n.log(LogInfo, "taking part over: its workers can't reach its owner", "part", p.name, "owner", p.rec.Owner)
 		return true
 	case deaf && bounced >= 1 && waited > 5*second+wait:
-		n.log(1, "taking part over: owner is silent", "part", p.name, "owner", p.rec.Owner)
+		n.log(LogInfo, "taking part over: owner is silent", "part", p.name, "owner", p.rec.Owner)
 		return true
 	case refused && n.storeOK && n.now-n.storeAt < 2*second && n.peerRefusedFor(p.rec.Owner) > 4*second+wait:
-		n.log(1, "taking part over: owner is refused by the state service", "part", p.name, "owner", p.rec.Owner)
+		n.log(LogInfo, "taking part over: owner is refused by the state service", "part", p.name, "owner", p.rec.Owner)
 		return true
 	}
 	// The home controller is back and well: it stands beside the workers.
--- a/internal/core/part_test.go
+++ b/internal/core/part_test.go
@@ -31,17 +31,17 @@
 }
 
 func TestDoneSet(t *testing.T) {
-	var set [][2]int
+	var set wire.TaskSet
 	order := []int{5, 3, 4, 0, 9, 1, 2, 4, 8, 7, 6}
 	for i, task := range order {
-		set = addDone(set, task)
+		set = set.With(task)
 		for k, other := range order {
-			if want := k <= i; isDone(set, other) != want && !(other == 4) {
+			if want := k <= i; set.Has(other) != want && !(other == 4) {
 				t.Fatalf("after %v: done(%d) is %v in %v", order[:i+1], other, !want, set)
 			}
 		}
 	}
-	if len(set) != 1 || set[0] != [2]int{0, 10} || countDone(set) != 10 {
+	if len(set) != 1 || set[0] != (wire.TaskRange{First: 0, End: 10}) || set.Count() != 10 {
 		t.Errorf("got %v", set)
 	}
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -15,7 +15,7 @@
 
 // mayPreempt tells whether anything may be stopped for w now. What was
 // stopped takes a report or two to go; nothing more is stopped till then.
-func (p *plan) mayPreempt(w *want) bool {
+func (p *plan) mayPreempt(w *queuedJob) bool {
 	n := p.n
 	return n.cfg.Preempt && p.stops < 8 && n.now-w.j.blockedSince >= second && n.now >= w.j.preemptAt &&
 		(w.j.prio >= 2 || w.within)
@@ -24,7 +24,7 @@
 // clearing lists the tasks to be stopped on a machine so that a task of w
 // fits, cheapest first. With all set it asks instead whether the machine could
 // take the task once everything but daemons has ended.
-func (p *plan) clearing(w *want, s *slot, all bool) ([]victim, bool) {
+func (p *plan) clearing(w *queuedJob, s *slot, all bool) ([]victim, bool) {
 	n, sp := p.n, w.j.rec.Spec
 	if s.h == nil {
 		return nil, false
@@ -64,7 +64,7 @@
 
 // preempt stops work to make room for one task: work of lower urgency, or
 // work that another team runs beyond its guarantee when this one is within.
-func (p *plan) preempt(w *want, ok func(*slot) bool) *slot {
+func (p *plan) preempt(w *queuedJob, ok func(*slot) bool) *slot {
 	if !p.mayPreempt(w) {
 		return nil
 	}
@@ -97,7 +97,7 @@
 }
 
 // stop marks tasks to be stopped; a gang is stopped as a whole.
-func (p *plan) stop(w *want, victims []victim) bool {
+func (p *plan) stop(w *queuedJob, victims []victim) bool {
 	for _, v := range victims {
 		rec := p.w.job(v.j)
 		if rec == nil {
@@ -112,7 +112,7 @@
 				}
 			}
 		}
-		p.n.log(1, "preempting", "job", v.j.ref, "task", v.key.task, "for", w.j.ref)
+		p.n.log(LogInfo, "preempting", "job", v.j.ref, "task", v.key.task, "for", w.j.ref)
 	}
 	p.stops++
 	return true
@@ -121,7 +121,7 @@
 // mayStop tells whether the rules of preemption let w stop work of v, and w
 // comes first in the queue as well: otherwise what was stopped would get its
 // place back and be stopped again.
-func (p *plan) mayStop(w *want, v *job) bool {
+func (p *plan) mayStop(w *queuedJob, v *job) bool {
 	if v.prio < w.j.prio {
 		return true
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -9,89 +9,110 @@
 	"micaport/internal/wire"
 )
 
-// want is a job in its team's queue.
-type want struct {
+// queuedJob is a job in its team's queue.
+type queuedJob struct {
 	j      *job
 	tasks  []int
 	zones  []int // its tasks by zone, as planned so far
 	within bool  // inside the team's guarantee, with the jobs before it
 	// What was found out for an earlier task of the job holds for the rest.
-	noRoom, noSoon, noHope bool
-	parts                  []int // its tasks by part, as planned so far
-	runs                   int   // how many runs of tasks its record has room for
-	startBy                int64 // by when it has to begin, see Node.startBy
+	noFreeRoom, noRoomSoon, noExpectedRoom bool
+	parts                                  []int // its tasks by part, as planned so far
+	runs                                   int   // how many runs of tasks its record has room for
+	startBy                                int64 // by when it has to begin, see Node.startBy
+	reluctant                              bool  // its next task keeps off idle ordinary machines
 }
 
 // teamQueue is the queue of one team.
 type teamQueue struct {
-	team  int
-	wants []*want
+	team int
+	jobs []*queuedJob
 }
 
 // queues builds a queue for each team, most pressing first.
 func (n *Node) queues() []*teamQueue {
-	out := make([]*teamQueue, len(n.cfg.Teams))
-	for i := range out {
-		out[i] = &teamQueue{team: i}
+	queues := make([]*teamQueue, len(n.cfg.Teams))
+	for i := range queues {
+		queues[i] = &teamQueue{team: i}
 	}
-	order := slices.Clone(n.live)
-	slices.SortFunc(order, func(a, b int) int {
-		x, y := n.jobs[a], n.jobs[b]
-		if x.sinceMS() != y.sinceMS() {
-			return cmp.Compare(x.sinceMS(), y.sinceMS())
-		}
-		return cmp.Compare(x.ref, y.ref)
-	})
-	sum := make([]use, n.teams.Len())
-	for _, jx := range order {
-		j := n.jobs[jx]
+	used := make([]usage, n.teams.Len())
+	for _, index := range n.byAge() {
+		j := n.jobs[index]
 		if j.rec.State != wire.Live || j.rec.Spec == nil || j.team < 0 || j.waits() {
 			continue
 		}
-		sp := j.rec.Spec
-		q, u, t := out[j.team], &sum[j.team], &n.cfg.Teams[j.team]
-		u.add(sp, float64(j.rec.Frames-countDone(j.rec.DoneSet)))
-		j.within = (t.Cards > 0 || t.Cores > 0) && !over(u.cards, t.Cards) && !over(u.cores, t.Cores)
-		if n.now < j.notBefore || n.owner.holds(j) {
+		used[j.team].add(j.rec.Spec, float64(j.rec.Frames-j.rec.DoneSet.Count()))
+		j.within = n.cfg.Teams[j.team].guarantees(used[j.team])
+		if n.isHeldBack(j) {
 			continue
 		}
-		if j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity()) && (!j.bulk || n.now-j.grantedAt < placingTime) {
-			continue
+		if j.rec.Spec.Shape == wire.ShapeGang && len(j.rec.Active) > 0 {
+			continue // the old attempt is not gone yet
 		}
-		w := &want{j: j, within: j.within, startBy: n.startBy(j), runs: len(j.rec.Active) + j.rec.Frames}
-		if sp.Shape == wire.ShapeGang {
-			if len(j.rec.Active) > 0 {
-				continue // the old attempt is not gone yet
-			}
-			w.tasks = n.waitingTasks(j, j.rec.Frames)
-		} else {
-			w.tasks = n.waitingTasks(j, n.tasksLimit(j)-len(j.rec.Active))
-			if j.bulk {
-				w.runs = n.runsLeft(j)
-			}
-			if w.runs <= 0 || n.now-j.grantedAt < n.grantPause(j) {
-				w.tasks = nil
-			}
-			if j.suspect { // one task shows as much as many
-				w.tasks = w.tasks[:min(len(w.tasks), b2i(len(j.rec.Active) == 0))]
-			}
-		}
-		if len(w.tasks) > 0 {
-			q.wants = append(q.wants, w)
+		if w := n.queuedTasks(j); len(w.tasks) > 0 {
+			queues[j.team].jobs = append(queues[j.team].jobs, w)
 		} else {
 			j.blockedSince = 0
 		}
 	}
-	for _, q := range out {
-		slices.SortStableFunc(q.wants, func(a, b *want) int {
-			// A bulk job's turn comes seldom and takes one put; behind a swarm of
-			// small jobs, which need one each, it would never come.
-			// Among equals the stages of a chain go by when they have to begin to
-			// be in time, before what has no such time.
-			return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.startBy, b.startBy), b2i(b.j.bulk)-b2i(a.j.bulk))
-		})
+	for _, q := range queues {
+		slices.SortStableFunc(q.jobs, comparePressing)
+	}
+	return queues
+}
+
+// byAge lists the live jobs, those first that have been able to run for longest.
+func (n *Node) byAge() []int {
+	order := slices.Clone(n.live)
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := n.jobs[a], n.jobs[b]
+		return cmp.Or(cmp.Compare(x.sinceMS(), y.sinceMS()), cmp.Compare(x.ref, y.ref))
+	})
+	return order
+}
+
+// guarantees tells whether a team has a guarantee that covers a use.
+func (t *Team) guarantees(used usage) bool {
+	return (t.Cards > 0 || t.Cores > 0) && !over(used.cards, t.Cards) && !over(used.cores, t.Cores)
+}
+
+// isHeldBack tells whether a job is not to be granted anything now: it failed lately,
+// its record is being written, or its owners are about to place what was granted.
+func (n *Node) isHeldBack(j *job) bool {
+	if n.now < j.notBefore || n.owner.holds(j) {
+		return true
+	}
+	placing := j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity())
+	return placing && (!j.bulk || n.now-j.grantedAt < placingTime)
+}
+
+// queuedTasks lists the tasks of a job that may be granted now; none where the job has
+// to wait for its own earlier tasks.
+func (n *Node) queuedTasks(j *job) *queuedJob {
+	w := &queuedJob{j: j, within: j.within, startBy: n.startBy(j), runs: len(j.rec.Active) + j.rec.Frames}
+	if j.rec.Spec.Shape == wire.ShapeGang {
+		w.tasks = n.waitingTasks(j, j.rec.Frames)
+		return w
+	}
+	w.tasks = n.waitingTasks(j, n.tasksLimit(j)-len(j.rec.Active))
+	if j.bulk {
+		w.runs = n.runsLeft(j)
+	}
+	if w.runs <= 0 || n.now-j.grantedAt < n.grantDelay(j) {
+		w.tasks = nil
 	}
-	return out
+	if j.suspect { // one task shows as much as many
+		w.tasks = w.tasks[:min(len(w.tasks), boolToInt(len(j.rec.Active) == 0))]
+	}
+	return w
+}
+
+// comparePressing orders the jobs of a team's queue. Among equals the stages of a chain
+// go by when they have to begin to be in time, before what has no such time. A bulk
+// job's turn comes seldom and takes one put; behind a swarm of small jobs, which need
+// one each, it would never come.
+func comparePressing(a, b *queuedJob) int {
+	return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.startBy, b.startBy), boolToInt(b.j.bulk)-boolToInt(a.j.bulk))
 }
 
 // startBy is by when a job of a chain has to begin to be in time, as time of day in
@@ -106,12 +127,12 @@
 // placingTime is how long a job's owners have for placing what was granted
 // before more is granted to it, when puts are scarce: the record can't be
 // written by both at once.
-const placingTime = 700 * 1e6
+const placingTime = 700 * time.Millisecond
 
 // rank puts urgent work first, and among equals work within a guarantee
 // before borrowed. It must agree with mayStop: if what was stopped came before
 // what it was stopped for, the two would take turns.
-func (w *want) rank() int { return 2*w.j.prio + b2i(w.within) }
+func (w *queuedJob) rank() int { return 2*w.j.prio + boolToInt(w.within) }
 
 // share is how much of its guarantee a team uses; less is served first.
 func (p *plan) share(team int) float64 {
@@ -135,9 +156,9 @@
 // serveStarved lets the gang that has waited longest beyond its patience
 // gather room.
 func (p *plan) serveStarved(qs []*teamQueue) {
-	var first *want
+	var first *queuedJob
 	for _, q := range qs {
-		for _, w := range q.wants {
+		for _, w := range q.jobs {
 			j := w.j
 			if j.rec.Spec.Shape != wire.ShapeGang || j.blockedSince == 0 || p.n.now-j.blockedSince < gangPatience {
 				continue
@@ -151,7 +172,7 @@
 		p.starved = first
 		p.serveGang(first)
 		for _, q := range qs {
-			q.wants = slices.DeleteFunc(q.wants, func(w *want) bool { return w == first })
+			q.jobs = slices.DeleteFunc(q.jobs, func(w *queuedJob) bool { return w == first })
 		}
 	}
 }
@@ -164,18 +185,18 @@
 	for {
 		var pick *teamQueue
 		for _, q := range qs {
-			if len(q.wants) == 0 {
+			if len(q.jobs) == 0 {
 				continue
 			}
-			if pick == nil || q.wants[0].rank() > pick.wants[0].rank() ||
-				q.wants[0].rank() == pick.wants[0].rank() && p.share(q.team) < p.share(pick.team) {
+			if pick == nil || q.jobs[0].rank() > pick.jobs[0].rank() ||
+				q.jobs[0].rank() == pick.jobs[0].rank() && p.share(q.team) < p.share(pick.team) {
 				pick = q
 			}
 		}
 		if pick == nil {
-			return p.left
+			return p.ungranted
 		}
-		w := pick.wants[0]
+		w := pick.jobs[0]
 		more := false
 		if w.j.rec.Spec.Shape == wire.ShapeGang {
 			p.serveGang(w)
@@ -183,7 +204,7 @@
 			more = p.serveTask(w)
 		}
 		if !more || len(w.tasks) == 0 {
-			pick.wants = pick.wants[1:]
+			pick.jobs = pick.jobs[1:]
 		}
 	}
 }
@@ -196,20 +217,20 @@
 	return j.rec
 }
 
-// miss is a demand for which there was no free room in this pass.
-type miss struct {
-	cores, cards, mem float64
-	zone              int
-	any, spot, partly bool // partly: it kept off untouched ordinary machines
+// unmetDemand is a demand for which there was no free room in this pass.
+type unmetDemand struct {
+	cores, cards, mem     float64
+	zone                  int
+	any, spot, avoidsIdle bool // partly: it kept off untouched ordinary machines
 }
 
-// missed tells whether a demand that asked for no more, at no fewer places,
+// isUnmet tells whether a demand that asked for no more, at no fewer places,
 // has found no room already: then there is no need to look again.
-func (p *plan) missed(j *job, partly bool) bool {
+func (p *plan) isUnmet(j *job, partly bool) bool {
 	sp := j.rec.Spec
-	for i := range p.misses {
-		m := &p.misses[i]
-		if m.any && (m.zone < 0 || m.zone == j.zone) && (m.spot || !j.spot) && (!m.partly || partly) &&
+	for i := range p.unmet {
+		m := &p.unmet[i]
+		if m.any && (m.zone < 0 || m.zone == j.zone) && (m.spot || !j.spot) && (!m.avoidsIdle || partly) &&
 			m.cores <= sp.Cores+eps && m.cards <= sp.Cards+eps && m.mem <= sp.MemoryGB+eps {
 			return true
 		}
@@ -217,77 +238,55 @@
 	return false
 }
 
-func (p *plan) miss(j *job, partly bool) {
-	if sp := j.rec.Spec; len(j.rec.Avoid) == 0 && len(p.misses) < 16 {
-		p.misses = append(p.misses, miss{sp.Cores, sp.Cards, sp.MemoryGB, j.zone, j.any, j.spot, partly})
+func (p *plan) noteUnmet(j *job, partly bool) {
+	if sp := j.rec.Spec; len(j.rec.Avoid) == 0 && len(p.unmet) < 16 {
+		p.unmet = append(p.unmet, unmetDemand{sp.Cores, sp.Cards, sp.MemoryGB, j.zone, j.any, j.spot, partly})
 	}
 }
 
-// serveTask grants the next task of an array or daemon, and tells whether to
-// go on with the job.
-func (p *plan) serveTask(w *want) bool {
-	j, sp := w.j, w.j.rec.Spec
-	if !p.quota(j, 1) {
+// serveTask grants the next tasks of an array or daemon, one or, of a bulk job, as many
+// as fit a machine, and tells whether to go on with the job.
+func (p *plan) serveTask(w *queuedJob) bool {
+	if !p.quota(w.j, 1) || w.runs <= 0 {
 		return false
 	}
 	if w.zones == nil {
-		w.zones = p.n.zoneTasks(p.record(j))
-		w.parts = make([]int, len(p.n.parts))
-		for i := range j.rec.Active {
-			w.parts[j.rec.Active[i].Part]++
-		}
-	}
-	zones := w.zones
-	scarce := p.n.scarcity()
-	started := len(j.rec.Active) > 0 || p.w.recs[j.ix] != nil
-	if j.bulk {
-		scarce = 2 // its owners and the leader would keep each other from writing its record
+		p.countPlaces(w)
 	}
-	near := func(s *slot) float64 {
-		switch {
-		case s.part < 0:
-			return 0
-		case started && w.parts[s.part] == 0:
-			return newPart * scarce
-		case j.bulk: // begun in different parts, several don't meet
-			return ownPart * float64(b2i(!started && s.part != j.ix%len(p.n.parts)))
-		case !started && j.prio == 0 && !p.n.holds(p.n.parts[s.part]):
-			return ownPart * scarce
-		}
-		return 0
-	}
-	// Tasks that only a machine still to come will take count in their zone
-	// too, else all would be planned for the same one.
-	took := func(s *slot, k int) {
-		s.give(sp, -k)
-		zones[s.zone] += k
-		w.tasks = w.tasks[k:]
-		w.runs--
-	}
-	run := func(s *slot) int {
-		if !j.bulk {
-			return 1
-		}
-		k := min(s.count(sp), len(w.tasks), maxRun)
-		for k > 1 && !p.quota(j, k) {
-			k--
-		}
-		return max(1, k)
+	fits := p.placeRule(w)
+	if p.grantNow(w, fits) {
+		return true
 	}
-	if w.runs <= 0 {
-		return false
+	w.noFreeRoom = true
+	p.waiting++
+	p.noteBlocked(w.j)
+	return p.planSoon(w, fits) || p.planLater(w, fits)
+}
+
+// countPlaces counts a job's tasks by zone and by part.
+func (p *plan) countPlaces(w *queuedJob) {
+	w.zones = p.n.zoneTasks(p.record(w.j))
+	w.parts = make([]int, len(p.n.parts))
+	for i := range w.j.rec.Active {
+		w.parts[w.j.rec.Active[i].Part]++
 	}
-	reluctant := p.keepsOrdinary(w)
-	ok := func(s *slot) bool {
+}
+
+// placeRule gives the test whether the next task of a job may be planned on a machine,
+// up or to come, by its place and kind.
+func (p *plan) placeRule(w *queuedJob) func(*slot) bool {
+	spec, zones := w.j.rec.Spec, w.zones
+	w.reluctant = p.avoidsIdleOrdinary(w)
+	return func(s *slot) bool {
 		// Machines to come are no different: planned on ordinary ones that it
 		// would not take, it would wait for them while no spot machine is hired.
-		if reluctant && !s.spot && s.untouched() {
+		if w.reluctant && !s.spot && s.untouched() {
 			return false
 		}
-		if sp.Spread && zones[s.zone] >= zoneLimit(sp) {
+		if spec.Spread && zones[s.zone] >= zoneLimit(spec) {
 			return false
 		}
-		if sp.SameZone {
+		if spec.SameZone {
 			for z, c := range zones {
 				if c > 0 && z != s.zone {
 					return false
@@ -296,85 +295,150 @@
 		}
 		return true
 	}
-	plain := !sp.Spread && !sp.SameZone
-	if !w.noRoom && !p.missed(j, reluctant) {
-		if s := p.up.best(j, ok, near); s != nil {
-			// Without a put left the room is kept for it all the same: it is
-			// neither to be taken by what comes later, nor to go back as idle.
-			k := run(s)
-			if p.grant(j, w.tasks[:k], slices.Repeat([]*slot{s}, k)) {
-				w.parts[s.part] += k
-			} else {
-				p.used[j.team].add(sp, float64(k))
-			}
-			s.fetching(j)
-			took(s, k)
-			j.blockedSince = 0
-			return true
-		}
-		if plain {
-			p.miss(j, reluctant)
+}
+
+// partPenalty gives what it counts, in seconds, to put the next task of a job on a
+// machine, by the machine's part.
+func (p *plan) partPenalty(w *queuedJob) func(*slot) float64 {
+	j, scarcity := w.j, p.n.scarcity()
+	started := len(j.rec.Active) > 0 || p.w.recs[j.ix] != nil
+	if j.bulk {
+		scarcity = 2 // its owners and the leader would keep each other from writing its record
+	}
+	return func(s *slot) float64 {
+		switch {
+		case s.part < 0:
+			return 0
+		case started && w.parts[s.part] == 0:
+			return newPartPenalty * scarcity
+		case j.bulk: // begun in different parts, several don't meet
+			return foreignPartPenalty * float64(boolToInt(!started && s.part != j.ix%len(p.n.parts)))
+		case !started && j.prio == 0 && !p.n.holds(p.n.parts[s.part]):
+			return foreignPartPenalty * scarcity
 		}
+		return 0
 	}
-	w.noRoom = true
-	p.waiting++
-	p.blocked(j)
-	// Room on its way counts before machines still to come. A bulk job takes it
-	// when it is there.
-	if !w.noSoon && !j.bulk {
-		for _, s := range p.up.soon {
-			if s.suits(j) && s.fitsSoon(sp) && ok(s) {
-				took(s, 1)
-				return true
-			}
+}
+
+// anywhere tells whether it makes no difference to a job's tasks where the others are,
+// so that what was found out for one holds for the rest.
+func (w *queuedJob) anywhere() bool {
+	return !w.j.rec.Spec.Spread && !w.j.rec.Spec.SameZone
+}
+
+// runOn is how many of a job's next tasks a machine takes at once.
+func (p *plan) runOn(w *queuedJob, s *slot) int {
+	if !w.j.bulk {
+		return 1
+	}
+	tasks := min(s.count(w.j.rec.Spec), len(w.tasks), maxRun)
+	for tasks > 1 && !p.quota(w.j, tasks) {
+		tasks--
+	}
+	return max(1, tasks)
+}
+
+// took notes that the next tasks of a job are planned on a machine. Tasks that only a
+// machine still to come will take count in their zone too, else all would be planned
+// for the same one.
+func (w *queuedJob) took(s *slot, tasks int) {
+	s.give(w.j.rec.Spec, -tasks)
+	w.zones[s.zone] += tasks
+	w.tasks = w.tasks[tasks:]
+	w.runs--
+}
+
+// grantNow grants the next tasks of a job to the best machine with free room.
+func (p *plan) grantNow(w *queuedJob, fits func(*slot) bool) bool {
+	j := w.j
+	if w.noFreeRoom || p.isUnmet(j, w.reluctant) {
+		return false
+	}
+	s := p.up.best(j, fits, p.partPenalty(w))
+	if s == nil {
+		if w.anywhere() {
+			p.noteUnmet(j, w.reluctant)
 		}
-		if s := p.preempt(w, ok); s != nil {
-			took(s, 1)
+		return false
+	}
+	// Without a put left the room is kept for it all the same: it is neither to be
+	// taken by what comes later, nor to go back as idle.
+	tasks := p.runOn(w, s)
+	if p.grant(j, w.tasks[:tasks], slices.Repeat([]*slot{s}, tasks)) {
+		w.parts[s.part] += tasks
+	} else {
+		p.used[j.team].add(j.rec.Spec, float64(tasks))
+	}
+	s.fetching(j)
+	w.took(s, tasks)
+	j.blockedSince = 0
+	return true
+}
+
+// planSoon plans the next task of a job on room that is about to be free, or that is
+// made for it. A bulk job takes such room when it is there.
+func (p *plan) planSoon(w *queuedJob, fits func(*slot) bool) bool {
+	if w.noRoomSoon || w.j.bulk {
+		return false
+	}
+	for _, s := range p.up.soon {
+		if s.suits(w.j) && s.fitsSoon(w.j.rec.Spec) && fits(s) {
+			w.took(s, 1)
 			return true
 		}
-		w.noSoon = plain
 	}
+	if s := p.preempt(w, fits); s != nil {
+		w.took(s, 1)
+		return true
+	}
+	w.noRoomSoon = w.anywhere()
+	return false
+}
+
+// planLater plans the next tasks of a job on a machine that is to come, or is now to be
+// hired. Later passes grant them for real.
+func (p *plan) planLater(w *queuedJob, fits func(*slot) bool) bool {
+	j := w.j
 	var s *slot
-	if !w.noHope {
-		s = p.hope.best(j, ok, nil)
-		w.noHope = s == nil && plain
+	if !w.noExpectedRoom {
+		s = p.expected.best(j, fits, nil)
+		w.noExpectedRoom = s == nil && w.anywhere()
 	}
 	if s == nil {
-		s = p.hireFor(w, func(s *slot) bool { return ok(s) && (s.spot || !p.sparesOnly(w)) })
+		s = p.hireFor(w, func(s *slot) bool { return fits(s) && (s.spot || !p.isBackfill(w)) })
 	}
 	if s == nil {
 		return false
 	}
-	// Simulated only: later passes grant it for real. Count its use so that
-	// no more is hired than the team may use.
-	k := run(s)
-	p.used[j.team].add(sp, float64(k))
-	took(s, k)
+	// Their use counts, so that no more is hired than the team may use.
+	tasks := p.runOn(w, s)
+	p.used[j.team].add(j.rec.Spec, float64(tasks))
+	w.took(s, tasks)
 	return true
 }
 
-// newPart is what it counts, in seconds, to spread a job over one more part
-// when puts are scarce: each part's owner has to write the job's record. ownPart
+// newPartPenalty is what it counts, in seconds, to spread a job over one more part
+// when puts are scarce: each part's owner has to write the job's record. foreignPartPenalty
 // is what it counts to begin work of low urgency in a part that is not the
 // leader's own, where the grant chooses the machine and saves a put.
 const (
-	newPart = 8
-	ownPart = 3
+	newPartPenalty     = 8
+	foreignPartPenalty = 3
 )
 
-// keepsOrdinary tells whether a task that may run on spot machines should
+// avoidsIdleOrdinary tells whether a task that may run on spot machines should
 // rather wait for one than break into an ordinary machine that nothing uses:
 // those are for whole-machine gangs and daemons, and cost several times more.
-func (p *plan) keepsOrdinary(w *want) bool {
+func (p *plan) avoidsIdleOrdinary(w *queuedJob) bool {
 	j, sp := w.j, w.j.rec.Spec
-	if p.sparesOnly(w) {
+	if p.isBackfill(w) {
 		return true
 	}
 	if !sp.Spot || j.prio >= 2 || j.blockedSince != 0 && p.n.now-j.blockedSince > patienceForSpot {
 		return false
 	}
-	for _, c := range p.hope.order {
-		if c.spot && float64(c.cards) >= sp.Cards && len(*p.hope.open[c]) > 0 && j.allows(c.rig, c.zone, true) {
+	for _, c := range p.expected.order {
+		if c.spot && float64(c.cards) >= sp.Cards && len(*p.expected.open[c]) > 0 && j.allows(c.rig, c.zone, true) {
 			return true
 		}
 	}
@@ -389,10 +453,10 @@
 // patienceForSpot is about the time that a machine takes to boot and more.
 const patienceForSpot = 40 * second
 
-// blocked notes since when a job has waited. What was never granted has waited
+// noteBlocked notes since when a job has waited. What was never granted has waited
 // since it was accepted: a new leader must not make it begin anew, or with a
 // leader that ends every minute a gang's turn to gather room never comes.
-func (p *plan) blocked(j *job) {
+func (p *plan) noteBlocked(j *job) {
 	if j.blockedSince != 0 {
 		return
 	}
@@ -408,7 +472,7 @@
 	}
 }
 
-func b2i(b bool) int {
+func boolToInt(b bool) int {
 	if b {
 		return 1
 	}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"micaport/internal/wire"
 )
@@ -24,13 +25,7 @@
 	n.setPart(h, pi)
 	h.rig, h.spot, h.addr = n.rigs.Of(r.Rig), r.Spot, r.Addr
 	if !n.loaded || !n.valid(p) || r.Token > p.rev {
-		// A copy of what we have seen before tells nothing of where the
-		// machine is now.
-		late := h.strayShift > r.Session || h.strayShift == r.Session && h.strayTick >= r.Seq
-		if !late {
-			h.strayShift, h.strayTick = r.Session, r.Seq
-		}
-		n.redirect(in.Req, p, h, late)
+		n.redirect(in.Req, p, h, h.isStrayCopy(r))
 		return
 	}
 	if h.session > r.Session || h.session == r.Session && h.seq >= r.Seq {
@@ -38,44 +33,11 @@
 		n.emit(Reply{Req: in.Req, Status: 503, Body: wire.Error{Error: "late report"}})
 		return
 	}
-	if h.term != p.rev {
-		h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
-		h.silenced = false
-		h.started, h.direct = map[taskKey]uint64{}, map[taskKey]directStart{}
-		// The first report of a machine's life, of which nobody has heard: it
-		// can't know any term yet.
-		h.newborn = r.Session == 1 && r.Seq <= 2 && r.Token == 0 && !h.info.known && len(h.on) == 0
-		n.ownInfoAt = 0
-	} else {
-		h.newborn = h.newborn && r.Session == 1 && r.Seq <= 2
-	}
-	if h.session != r.Session {
-		// Its lease ran out although we answered it a short while ago: our
-		// answers don't reach it.
-		// Only reports that show our term tell so: what was held back in a cut
-		// arrives together with the next session.
-		if h.token && h.reports > 1 && h.answered > 0 && n.now-h.answered < n.cfg.Lease*3/4 {
-			h.ignored = deafAfter
-		}
-		clear(h.started)
-		clear(h.direct)
-		h.silenced = false
-	}
-	if h.token != (r.Token == p.rev) {
-		h.token, h.ignored = r.Token == p.rev, 0
-		n.ownInfoAt = 0
-	} else if h.reports > 0 && !h.token && n.inVain(h) {
-		h.ignored++
-	}
+	n.noteTerm(p, h, r)
+	n.noteSession(h, r)
+	n.noteToken(p, h, r)
 	consecutive := h.session == r.Session && r.Seq == h.seq+1
-	h.session, h.seq, h.heard = r.Session, r.Seq, n.now
-	h.bounceAt, h.redirectAt = 0, 0
-	h.reports++
-	if r.RecallS != nil {
-		h.leavingAt = n.now + Time(*r.RecallS*float64(second))
-	} else {
-		h.leavingAt = 0
-	}
+	n.noteHeard(h, r)
 	n.ownerAt = 0
 	was := h.ignored
 	orders := n.reconcile(p, h, r)
@@ -86,12 +48,7 @@
 	if consecutive && h.ignored == was && len(n.cfg.Members) > 1 && h.token {
 		h.ignored = 0 // it has stayed with us, so it heard our last answer
 	}
-	if deaf := h.ignored >= deafAfter && !n.manyDeaf(p); deaf != h.deaf || h.ignored != was {
-		if deaf && !h.deaf {
-			n.log(1, "machine does not hear us", "host", h.name)
-		}
-		h.deaf, n.ownInfoAt = deaf, 0
-	}
+	n.noteDeafness(p, h, was)
 	if pause := n.worthWaiting(h, r, orders); pause > 0 {
 		n.held = append(n.held, heldReport{Reported: in, part: p, host: h, term: p.rev, until: n.now + pause})
 		h.held++
@@ -100,6 +57,82 @@
 	n.answerWorker(in.Req, p, h, orders)
 }
 
+// isStrayCopy tells whether a report that came to another than the owner is a copy of
+// what came before, which tells nothing of where the machine is now.
+func (h *host) isStrayCopy(r *wire.Report) bool {
+	if h.strayShift > r.Session || h.strayShift == r.Session && h.strayTick >= r.Seq {
+		return true
+	}
+	h.strayShift, h.strayTick = r.Session, r.Seq
+	return false
+}
+
+// noteTerm begins anew with a machine that is heard for the first time in our term.
+func (n *Node) noteTerm(p *part, h *host, r *wire.Report) {
+	firstReports := r.Session == 1 && r.Seq <= 2
+	if h.term == p.rev {
+		h.newborn = h.newborn && firstReports
+		return
+	}
+	h.term, h.answered, h.reports, h.token, h.ignored, h.deaf = p.rev, 0, 0, false, 0, false
+	h.silenced = false
+	h.started, h.direct = map[taskKey]uint64{}, map[taskKey]directStart{}
+	// The first report of a machine's life, of which nobody has heard: it can't know
+	// any term yet.
+	h.newborn = firstReports && r.Token == 0 && !h.info.known && len(h.on) == 0
+	n.ownInfoAt = 0
+}
+
+// noteSession forgets what was sent to a machine in its last session.
+func (n *Node) noteSession(h *host, r *wire.Report) {
+	if h.session == r.Session {
+		return
+	}
+	// Its lease ran out although we answered it a short while ago: our answers don't
+	// reach it. Only reports that show our term tell so: what was held back in a cut
+	// arrives together with the next session.
+	if h.token && h.reports > 1 && h.answered > 0 && n.now-h.answered < n.cfg.Lease*3/4 {
+		h.ignored = deafAfter
+	}
+	clear(h.started)
+	clear(h.direct)
+	h.silenced = false
+}
+
+// noteToken notes whether a machine has taken our term, and counts answers after which
+// it still has not.
+func (n *Node) noteToken(p *part, h *host, r *wire.Report) {
+	if h.token != (r.Token == p.rev) {
+		h.token, h.ignored = r.Token == p.rev, 0
+		n.ownInfoAt = 0
+	} else if h.reports > 0 && !h.token && n.inVain(h) {
+		h.ignored++
+	}
+}
+
+// noteHeard notes when and what a machine has reported.
+func (n *Node) noteHeard(h *host, r *wire.Report) {
+	h.session, h.seq, h.heard = r.Session, r.Seq, n.now
+	h.bounceAt, h.redirectAt = 0, 0
+	h.reports++
+	h.leavingAt = 0
+	if r.RecallS != nil {
+		h.leavingAt = n.now + Time(*r.RecallS*float64(second))
+	}
+}
+
+// noteDeafness tells the peers when a machine does not hear us, or may not.
+func (n *Node) noteDeafness(p *part, h *host, ignoredBefore int) {
+	deaf := h.ignored >= deafAfter && !n.manyDeaf(p)
+	if deaf == h.deaf && h.ignored == ignoredBefore {
+		return
+	}
+	if deaf && !h.deaf {
+		n.log(LogInfo, "machine does not hear us", "host", h.name)
+	}
+	h.deaf, n.ownInfoAt = deaf, 0
+}
+
 // inVain tells whether a machine may have waited in vain for our last answer:
 // it would have done so for 4 s. What comes sooner was on its way before, as
 // everything that a cut has held back.
@@ -132,13 +165,13 @@
 // answerPause is how long an answer may wait for the records to be written
 // that follow from the report. The worker's next report is seconds away, so
 // orders that miss this answer leave the machine idle for as long.
-const answerPause = 600 * 1e6
+const answerPause = 600 * time.Millisecond
 
 // idlePause is how long the answer to a machine without tasks waits for
 // something to start. The worker would wait 4 s; it has nothing else to tell,
 // and a start that comes meanwhile reaches it at once instead of with its next
 // report.
-const idlePause = 2500 * 1e6
+const idlePause = 2500 * time.Millisecond
 
 // heldReport is a report whose answer waits.
 type heldReport struct {
@@ -191,7 +224,7 @@
 	if len(n.held) == 0 || n.now < n.heldAt {
 		return
 	}
-	n.heldAt = n.now + 40*1e6
+	n.heldAt = n.now + 40*time.Millisecond
 	n.held = slices.DeleteFunc(n.held, func(q heldReport) bool {
 		p, h := q.part, q.host
 		if p.rev != q.term || !n.valid(p) || h.session != q.Report.Session || h.seq != q.Report.Seq {
@@ -304,109 +337,135 @@
 
 // sessionPause is how long a task that was lost with its machine's session
 // waits for the machine to take our term. It reports again after half a second.
-const sessionPause = 1200 * 1e6
+const sessionPause = 1200 * time.Millisecond
 
 // termOf is the term of the part that the machine belongs to.
 func (h *host) termOf(n *Node) uint64 { return n.parts[h.part].rev }
 
 // resultPause is how long a result waits for others of the same job when puts
 // are scarce: one put serves them all, and the tasks of a gang end together.
-const resultPause = 500 * 1e6
+const resultPause = 500 * time.Millisecond
 
 const causeLost = "lost"
 
+// reconciliation compares one report with the records.
+type reconciliation struct {
+	n        *Node
+	h        *host
+	report   *wire.Report
+	fresh    bool // the worker has seen our token: no earlier owner can start anything on it
+	reported map[taskKey]bool
+	before   map[taskKey]string // the states in the report before
+	orders   []wire.Order
+	ignored  bool // a start that it was told lacks
+}
+
 // reconcile compares a report with the records and gives the orders that
 // bring the machine in line.
 func (n *Node) reconcile(p *part, h *host, r *wire.Report) []wire.Order {
-	var orders []wire.Order
-	// Only a worker that has seen our token can't be told to start anything
-	// by an earlier owner any more.
-	fresh := r.Token == p.rev
-	reported := make(map[taskKey]bool, len(r.Tasks))
-	before := h.tasks
+	x := &reconciliation{n: n, h: h, report: r, fresh: r.Token == p.rev, reported: make(map[taskKey]bool, len(r.Tasks)), before: h.tasks}
 	h.tasks, h.lingering = make(map[taskKey]string, len(r.Tasks)), 0
 	for i := range r.Tasks {
-		t := &r.Tasks[i]
-		ref, task, err := wire.SplitTask(t.Task)
-		if err != nil {
-			continue
-		}
-		k := taskKey{n.refs.Find(ref), task, t.Attempt}
-		reported[k] = true
-		a := n.active(k, h.name)
-		if t.State == wire.TaskEnded {
-			if _, direct := h.direct[k]; a == nil && direct {
-				// A late copy of its start may still come. As long as the
-				// worker knows the attempt that has no effect.
-				h.lingering++
-			} else if a == nil {
-				// The record has let go of this attempt, so it can't be
-				// started again and may be forgotten by the worker.
-				orders = append(orders, wire.Order{Op: wire.OrderClear, Task: t.Task, Attempt: t.Attempt})
-			} else {
-				n.taskEnded(h, k, t)
-			}
-			continue
-		}
-		if a == nil {
-			orders = append(orders, wire.Order{Op: wire.OrderKill, Task: t.Task, Attempt: t.Attempt})
-			continue
-		}
-		h.tasks[k] = t.State
-		j := n.jobs[k.job]
-		if before[k] != t.State {
-			n.log(0, "task state", "job", j.ref, "class", j.rec.Spec.Class, "task", task, "attempt", t.Attempt, "host", h.name, "state", t.State)
-		}
-		if t.State != wire.TaskFetching {
-			h.images.add(j.image)
-		}
-		switch grace, kill := n.killGrace(h, j, a, t); {
-		case kill:
-			orders = append(orders, wire.Order{Op: wire.OrderKill, Task: t.Task, Attempt: t.Attempt, GraceS: grace})
-		}
+		x.present(&r.Tasks[i])
 	}
-	missed := false
 	for i := range h.on {
-		x := &h.on[i]
-		k, j := x.taskKey, n.jobs[x.job]
-		if reported[k] {
-			continue
-		}
-		if _, over := n.results[k]; over {
-			continue
-		}
-		last, sent := h.started[k]
-		// A start sent to the worker's own address may still be on its way,
-		// whatever its reports say.
-		viaAddr, direct := h.direct[k]
-		gone := fresh && r.Seq > last && !direct
-		missed = missed || sent && gone
-		switch {
-		case r.Session > x.session:
-			n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
-		case j.rec.State != wire.Live || x.stop != wire.Keep || h.leavingAt > 0:
-			if gone {
-				n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
-			} else if direct && n.mayComeTooLate(j, viaAddr) {
-				h.ignored, h.silenced = deafAfter, true
-			} else if direct && n.now-viaAddr.at > 2*n.cfg.Lease {
-				h.ignored = deafAfter // it took a start and never showed it
-			}
-		case gone && sent && h.ignored >= deafAfter-1:
-			// It goes on reporting and does not do what it is told. The
-			// report is newer than the answer that ordered the start and
-			// lacks it; from here on it is not ordered again.
-			n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
-		case n.holdBack(j, n.active(k, h.name)):
-		default:
-			orders = append(orders, wire.Order{Op: wire.OrderStart, Task: wire.TaskName(j.ref, k.task), Attempt: k.attempt})
-			h.started[k] = r.Seq
+		if on := &h.on[i]; !x.reported[on.taskKey] {
+			x.missing(on)
 		}
 	}
-	if missed && n.inVain(h) {
+	if x.ignored && n.inVain(h) {
 		h.ignored++
 	}
-	return orders
+	return x.orders
+}
+
+func (x *reconciliation) order(op, task string, attempt uint64, graceS float64) {
+	x.orders = append(x.orders, wire.Order{Op: op, Task: task, Attempt: attempt, GraceS: graceS})
+}
+
+// present deals with a task that the report shows.
+func (x *reconciliation) present(t *wire.Task) {
+	n, h := x.n, x.h
+	ref, task, err := wire.SplitTask(t.Task)
+	if err != nil {
+		return
+	}
+	k := taskKey{n.refs.Find(ref), task, t.Attempt}
+	x.reported[k] = true
+	a := n.active(k, h.name)
+	switch {
+	case t.State == wire.TaskEnded:
+		x.ended(t, k, a)
+		return
+	case a == nil:
+		x.order(wire.OrderKill, t.Task, t.Attempt, 0)
+		return
+	}
+	h.tasks[k] = t.State
+	j := n.jobs[k.job]
+	if x.before[k] != t.State {
+		n.log(LogDebug, "task state", "job", j.ref, "class", j.rec.Spec.Class, "task", task, "attempt", t.Attempt, "host", h.name, "state", t.State)
+	}
+	if t.State != wire.TaskFetching {
+		h.images.add(j.image)
+	}
+	if grace, kill := n.killGrace(h, j, a, t); kill {
+		x.order(wire.OrderKill, t.Task, t.Attempt, grace)
+	}
+}
+
+// ended deals with a task that the report shows as ended; a is its entry in the
+// record, or nil.
+func (x *reconciliation) ended(t *wire.Task, k taskKey, a *wire.Active) {
+	if a != nil {
+		x.n.taskEnded(x.h, k, t)
+		return
+	}
+	if _, direct := x.h.direct[k]; direct {
+		// A late copy of its start may still come. As long as the worker knows the
+		// attempt that has no effect.
+		x.h.lingering++
+		return
+	}
+	// The record has let go of this attempt, so it can't be started again and may be
+	// forgotten by the worker.
+	x.order(wire.OrderClear, t.Task, t.Attempt, 0)
+}
+
+// missing deals with a task that a record puts on the machine and the report lacks.
+func (x *reconciliation) missing(on *placed) {
+	n, h := x.n, x.h
+	k, j := on.taskKey, n.jobs[on.job]
+	if _, known := n.results[k]; known {
+		return
+	}
+	last, sent := h.started[k]
+	// A start sent to the worker's own address may still be on its way, whatever its
+	// reports say.
+	viaAddr, direct := h.direct[k]
+	gone := x.fresh && x.report.Seq > last && !direct
+	x.ignored = x.ignored || sent && gone
+	switch {
+	case x.report.Session > on.session:
+		n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
+	case j.rec.State != wire.Live || on.stop != wire.Keep || h.leavingAt > 0:
+		if gone {
+			n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
+		} else if direct && n.mayComeTooLate(j, viaAddr) {
+			h.ignored, h.silenced = deafAfter, true
+		} else if direct && n.now-viaAddr.at > 2*n.cfg.Lease {
+			h.ignored = deafAfter // it took a start and never showed it
+		}
+	case gone && sent && h.ignored >= deafAfter-1:
+		// It goes on reporting and does not do what it is told. The report is newer
+		// than the answer that ordered the start and lacks it; from here on it is not
+		// ordered again.
+		n.results[k] = result{h.name, causeLost, n.now, h.termOf(n)}
+	case n.holdBack(j, n.active(k, h.name)):
+	default:
+		x.order(wire.OrderStart, wire.TaskName(j.ref, k.task), k.attempt, 0)
+		h.started[k] = x.report.Seq
+	}
 }
 
 // killGrace decides whether a task on the machine has to stop, and with how
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -20,9 +20,9 @@
 	sample *job // the newest
 	list   []arrival
 	ends   []arrival // jobs that have given their machines back
-	// spare: it has no such aim, but belongs to a team with a guarantee. Room for
-	// it is only kept free of work that fills what is spare.
-	spare bool
+	// guardOnly: it has no such aim, but belongs to a team with a guarantee. Room for
+	// it is only kept free of work that fills what is guardOnly.
+	guardOnly bool
 }
 
 type arrival struct {
@@ -51,7 +51,7 @@
 	class := j.rec.Spec.Class
 	if t := j.team; t >= 0 && (n.cfg.Teams[t].Cards > 0 || n.cfg.Teams[t].Cores > 0) && len(n.arrivals) < maxClasses &&
 		!slices.ContainsFunc(n.arrivals, func(a *arrivals) bool { return a.class == class }) {
-		n.arrivals = append(n.arrivals, &arrivals{class: class, spare: true})
+		n.arrivals = append(n.arrivals, &arrivals{class: class, guardOnly: true})
 	}
 	for _, a := range n.arrivals {
 		if a.class == class {
@@ -98,14 +98,14 @@
 	a.forget(now)
 	window := max(60*second, min(arrivalWindow, now-since))
 	part := lead.Seconds() / window.Seconds()
-	come, comeVar := tally(a.list, part)
-	end, endVar := tally(a.ends, part)
+	come, comeVar := meanAndVariance(a.list, part)
+	end, endVar := meanAndVariance(a.ends, part)
 	net := max(0, come-end) + math.Sqrt(comeVar+endVar)
 	return int(math.Round(min(net, come+math.Sqrt(comeVar))))
 }
 
-// tally gives the mean and the variance of the tasks in a part of the window.
-func tally(list []arrival, part float64) (mean, variance float64) {
+// meanAndVariance gives the mean and the variance of the tasks in a part of the window.
+func meanAndVariance(list []arrival, part float64) (mean, variance float64) {
 	for _, x := range list {
 		mean += float64(x.frames) * part
 		variance += float64(x.frames) * float64(x.frames) * part
@@ -124,9 +124,9 @@
 			continue
 		}
 		lead := n.lead(j)
-		if a.spare {
-			if p.spares {
-				p.keepFree(j, a.reserve(n.now, n.countedFrom, 2*n.cfg.Report+second))
+		if a.guardOnly {
+			if p.hasBackfill {
+				p.reserveRoom(j, a.reserve(n.now, n.countedFrom, 2*n.cfg.Report+second))
 			}
 			continue
 		}
@@ -138,10 +138,10 @@
 		for range a.reserve(n.now, n.countedFrom, lead) {
 			s := p.up.best(j, nil, nil)
 			if s == nil {
-				s = p.hope.best(j, nil, nil)
+				s = p.expected.best(j, nil, nil)
 			}
 			if s == nil {
-				s = p.hireFor(&want{j: j}, func(*slot) bool { return true })
+				s = p.hireFor(&queuedJob{j: j}, func(*slot) bool { return true })
 			}
 			if s == nil {
 				break
--- a/internal/core/size_test.go
+++ b/internal/core/size_test.go
@@ -39,7 +39,7 @@
 	if len(n.live) != 0 {
 		t.Errorf("%d finished jobs count as live", len(n.live))
 	}
-	out := n.Step(second, UserRequest{Req: 1, Kind: "poll", Ref: "wk-000007"})
+	out := n.Step(second, UserRequest{Req: 1, Kind: wire.Poll, Ref: "wk-000007"})
 	if len(out) == 0 || out[0].(Reply).Body.(wire.JobStatus).Status != wire.StatusDone {
 		t.Errorf("a finished job is answered with %+v", out)
 	}
--- a/internal/core/stage.go
+++ b/internal/core/stage.go
@@ -124,10 +124,10 @@
 		}
 		s := p.up.best(j, allowed, nil)
 		if s == nil {
-			s = p.hope.best(j, allowed, nil)
+			s = p.expected.best(j, allowed, nil)
 		}
 		if s == nil {
-			s = p.hireFor(&want{j: j}, allowed)
+			s = p.hireFor(&queuedJob{j: j}, allowed)
 		}
 		if s == nil {
 			return
--- a/internal/core/api.go
+++ b/internal/core/user_requests.go
@@ -15,10 +15,11 @@
 type userState struct {
 	open map[uint64]*userOp
 
-	polls   []*userOp // wait for the next question of how far the records go
-	asking  bool
-	askAt   Time
-	settled []pollBatch // know it, and wait for our copy to get there
+	polls    []*userOp // wait for the next question of how far the records go
+	asking   bool
+	expireAt Time // when requests that waited for too long are next looked for
+	askAt    Time
+	settled  []pollBatch // know it, and wait for our copy to get there
 }
 
 // pollBatch is a number of polls that our copy may answer once it has reached
@@ -51,16 +52,16 @@
 	}
 	n.users.open[r.Req] = op
 	switch r.Kind {
-	case "submit":
+	case wire.Submit:
 		op.Ref, op.spec, op.fault = wire.ParseSpec(r.Body)
 		if op.Ref == "" {
 			n.answer(op, 400, wire.Error{Error: op.fault.Error()})
 			return
 		}
-	case "poll":
+	case wire.Poll:
 		op.deadline = n.now + pollPatience
 		fallthrough
-	case "withdraw":
+	case wire.Withdraw:
 		if !wire.ValidRef(op.Ref) {
 			n.answer(op, 404, wire.Error{Error: "no such job"})
 			return
@@ -78,11 +79,11 @@
 	if n.handOver(op) {
 		return
 	}
-	if op.Kind == "submit" && op.fault == nil && (ix < 0 || n.jobs[ix].rec == nil) {
+	if op.Kind == wire.Submit && op.fault == nil && (ix < 0 || n.jobs[ix].rec == nil) {
 		n.create(op)
 		return
 	}
-	if op.Kind == "poll" && n.loaded {
+	if op.Kind == wire.Poll && n.loaded {
 		n.users.polls = append(n.users.polls, op)
 		n.askRevision()
 		return
@@ -276,7 +277,7 @@
 	n.commit(User, []Cond{{key, 0}}, []Write{{Key: key, Value: rec}}, func(c Committed) {
 		switch c.Outcome {
 		case OK:
-			n.log(0, "accepted", "job", s.Ref, "class", s.Class, "team", s.Team, "frames", s.Frames, "image", s.Image, "gb", s.ImageGB, "expected_s", s.ExpectedS)
+			n.log(LogDebug, "accepted", "job", s.Ref, "class", s.Class, "team", s.Team, "frames", s.Frames, "image", s.Image, "gb", s.ImageGB, "expected_s", s.ExpectedS)
 			n.answer(op, 201, wire.JobStatus{Ref: s.Ref, Status: status})
 		case Conflict:
 			n.lookUp(op)
@@ -313,7 +314,7 @@
 // fitsValue tells whether a value holds a record and a few lists of active tasks.
 func (n *Node) fitsValue(rec *wire.Job) bool {
 	const lists = 2
-	return n.baseOf(rec)+lists*(n.aRun()+wire.ListCost+rangeCost) <= n.cfg.ValueBytes
+	return n.baseOf(rec)+lists*(n.runCost()+wire.ListCost+rangeCost) <= n.cfg.ValueBytes
 }
 
 // lookUp reads the record and goes on by the kind of request.
@@ -323,7 +324,7 @@
 		n.storeHeard(g.Outcome)
 		switch g.Outcome {
 		case OK:
-			if op.Kind == "withdraw" && g.Job.State == wire.Live {
+			if op.Kind == wire.Withdraw && g.Job.State == wire.Live {
 				n.withdraw(op, g)
 				return
 			}
@@ -334,7 +335,7 @@
 			n.answer(op, 200, n.reply(op, g.Job))
 		case Missing:
 			switch {
-			case op.Kind != "submit":
+			case op.Kind != wire.Submit:
 				n.answer(op, 404, wire.Error{Error: "no such job"})
 			case op.fault == nil:
 				n.create(op)
@@ -366,7 +367,7 @@
 	n.commit(User, []Cond{{wire.JobKey(op.Ref), g.Rev}}, writes, func(c Committed) {
 		switch c.Outcome {
 		case OK:
-			n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn, Done: countDone(rec.DoneSet)})
+			n.answer(op, 200, wire.JobStatus{Ref: op.Ref, Status: wire.StatusWithdrawn, Done: rec.DoneSet.Count()})
 		case Conflict:
 			if n.retry(op, OK) {
 				n.lookUp(op)
@@ -381,17 +382,17 @@
 
 // expireUsers answers requests that the state service has left waiting.
 func (n *Node) expireUsers() {
-	if n.now < n.usersAt {
+	if n.now < n.users.expireAt {
 		return
 	}
-	n.usersAt = n.now + 50*time.Millisecond
+	n.users.expireAt = n.now + 50*time.Millisecond
 	var late []uint64
 	for req, op := range n.users.open {
 		if n.now >= op.deadline {
 			late = append(late, req)
 		}
 	}
-	sortIDs(late)
+	slices.Sort(late)
 	for _, req := range late {
 		n.later(n.users.open[req], "state service is slow")
 	}
@@ -410,7 +411,7 @@
 	}
 	fits := false
 	for i := range n.types {
-		if r := &n.types[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || contains(r.Zones, s.Zone)) {
+		if r := &n.types[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || slices.Contains(r.Zones, s.Zone)) {
 			fits = true
 		}
 	}
@@ -435,7 +436,7 @@
 	if s.RigsForbidAll {
 		return false
 	}
-	return len(s.Rigs) == 0 || contains(s.Rigs, rig)
+	return len(s.Rigs) == 0 || slices.Contains(s.Rigs, rig)
 }
 
 func fitsRig(s *wire.Spec, r *wire.Flavor) bool {
--- a/internal/core/purse.go
+++ b/internal/core/write_budget.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // writeBudget is what we may still put into the state service now. The service
 // allows few puts, for all controllers together; a tenth is left for what
 // can't wait, which are claims, submissions and withdrawals. The rest is
@@ -8,20 +10,20 @@
 // before others have changed the records that it rests on.
 type writeBudget struct {
 	available   float64
-	availableAt     Time
-	rate   float64
-	rateAt Time
-	backlogS float64 // seconds that all controllers would take for what waits to be written
-	seenWrites   float64 // puts that our watch has shown since usedAt
-	measuredAt Time
-	writesPerS   float64 // puts a second by all, over the last while
+	availableAt Time
+	rate        float64
+	rateAt      Time
+	backlogS    float64 // seconds that all controllers would take for what waits to be written
+	seenWrites  float64 // puts that our watch has shown since usedAt
+	measuredAt  Time
+	writesPerS  float64 // puts a second by all, over the last while
 
 	seenUserWrites int     // submissions and withdrawals among those
-	userWritesPerS     float64 // of these a second, over the last while
-	reducedUntil  Time    // until when the rate to come is kept to
-	reducedFor    Time
-	pendingRecords      int // records that wait to be written by us
-	pendingGrants    int // of these, grants that the last pass of the leader found no put for
+	userWritesPerS float64 // of these a second, over the last while
+	reducedUntil   Time    // until when the rate to come is kept to
+	reducedFor     Time
+	pendingRecords int // records that wait to be written by us
+	pendingGrants  int // of these, grants that the last pass of the leader found no put for
 }
 
 // noteRefusal notes that the service refused puts as too many: the rate that it is to
@@ -55,7 +57,7 @@
 	}
 	p := &n.budget
 	if n.now >= p.rateAt {
-		p.rateAt = n.now + 200*1e6
+		p.rateAt = n.now + 200*time.Millisecond
 		p.pendingRecords = n.countPendingRecords()
 		p.rate = n.ownWriteRate()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,17 +244,17 @@
 			c <- x
 		}
 	case core.Log:
-		level := slog.LevelDebug
-		switch x.Level {
-		case 1:
-			level = slog.LevelInfo
-		case 2:
-			level = slog.LevelError
-		}
-		n.log.Log(context.Background(), level, x.Text, x.Args...)
+		n.log.Log(context.Background(), logLevels[x.Level], x.Text, x.Args...)
 	}
 }
 
+// logLevels maps the core's levels to those of the log.
+var logLevels = map[core.LogLevel]slog.Level{
+	core.LogDebug: slog.LevelDebug,
+	core.LogInfo:  slog.LevelInfo,
+	core.LogError: slog.LevelError,
+}
+
 // forward hands a user's request to a peer.
 func (n *Node) forward(f core.Forward) {
 	l := n.links[f.To]
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,7 +34,7 @@
 		t.Fatal("nothing heard")
 	}
 	got := make(chan wire.UserAnswer, 1)
-	link.Ask(wire.UserCall{Kind: "poll", Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
+	link.Ask(wire.UserCall{Kind: wire.Poll, Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
 	a := <-got
 	var s wire.JobStatus
 	if err := wire.Decode(a.Body, &s); err != nil || a.Status != 200 || s.Ref != "wk-1" || s.Status != "done" {
@@ -51,7 +51,7 @@
 	addr := l.Addr().String()
 	l.Close()
 	got := make(chan wire.UserAnswer, 1)
-	Dial(addr).Ask(wire.UserCall{Kind: "poll", Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
+	Dial(addr).Ask(wire.UserCall{Kind: wire.Poll, Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
 	select {
 	case a := <-got:
 		if a.Status != 0 {
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -21,11 +21,11 @@
 		Holds: []Hold{{Ref: "wk-000412", Attempt: 3, Part: 1, OK: true}}, Tries: []Hold{{Ref: "wk-000412", Attempt: 3}},
 		Kept: []Kept{{Host: "vm-000003", Ref: "wk-000412"}}, Retire: []string{"vm-000001"}, Returned: []string{"vm-000002"}, Strays: []string{"vm-000005"}}
 	return map[string]any{
-		"job-live": &Job{Spec: spec, Frames: 16, At: 1764640000123, Next: 7, DoneSet: [][2]int{{0, 3}, {5, 6}}, Errors: 2, Avoid: []string{"vm-000004"},
+		"job-live": &Job{Spec: spec, Frames: 16, At: 1764640000123, Next: 7, DoneSet: TaskSet{{First: 0, End: 3}, {First: 5, End: 6}}, Errors: 2, Avoid: []string{"vm-000004"},
 			Active: Actives{{Task: 3, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2}, {Task: 4, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2},
 				{Task: 7, Attempt: 6, Part: 0, Host: "vm-000007", Session: 1, Stop: Preempt}, {Task: 8, Attempt: 6, Part: 2}}},
 		"job-done":      &Job{State: Done, Frames: 16, At: 1764640000123, Next: 17},
-		"job-withdrawn": &Job{State: Withdrawn, Frames: 4, At: 1764640000123, Next: 3, DoneSet: [][2]int{{0, 1}}},
+		"job-withdrawn": &Job{State: Withdrawn, Frames: 4, At: 1764640000123, Next: 3, DoneSet: TaskSet{{First: 0, End: 1}}},
 		"part":          &Part{Owner: "stanok-1", Life: "7-99-3"},
 		"leader":        &Leader{Node: "stanok-0", Life: "7-98-1"},
 		"gang":          &Gang{Attempt: 3, State: GangConfirmed, Parts: []int{0, 2}},
@@ -110,7 +110,7 @@
 		Image: "img-09", ImageGB: 1, Spot: true, ExpectedS: 25}
 	return map[string]any{
 		"job-waiting": &Job{Spec: waiting, Frames: 4, At: 1764640000123, Next: 1},
-		"job-continued": &Job{Spec: array, Frames: 200, At: 1764640000123, Next: 9, DoneSet: [][2]int{{0, 12}}, Continuations: 2,
+		"job-continued": &Job{Spec: array, Frames: 200, At: 1764640000123, Next: 9, DoneSet: TaskSet{{First: 0, End: 12}}, Continuations: 2,
 			Active: Actives{{Task: 12, Attempt: 4, Part: 1, Host: "vm-000231", Session: 2}}},
 		"continuation": &Continuation{Active: Actives{{Task: 13, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2},
 			{Task: 14, Attempt: 5, Part: 1, Host: "vm-000231", Session: 2}, {Task: 15, Attempt: 6, Part: 0, Host: "vm-000007", Session: 1, Stop: Abandon},
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -90,9 +90,19 @@
 	Strays   []string // machines that came here though their owners miss them
 }
 
+// RequestKind says what a user asks for.
+type RequestKind string
+
+// Kinds of users' requests.
+const (
+	Submit   RequestKind = "submit"
+	Poll     RequestKind = "poll"
+	Withdraw RequestKind = "withdraw"
+)
+
 // UserCall is a user's request handed to a peer that can reach the state service.
 type UserCall struct {
-	Kind string
+	Kind RequestKind
 	Ref  string
 	Body []byte
 }
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -13,15 +13,15 @@
 // Keys of the state service. All share one prefix, so that one watch sees
 // every change in order.
 const (
-	Prefix      = "m/"
-	JobPrefix   = "m/j/"
-	PartPrefix  = "m/p/"
-	GangPrefix  = "m/g/"
-	MailboxPrefix  = "m/r/"
-	ImagePrefix = "m/i/"
+	Prefix        = "m/"
+	JobPrefix     = "m/j/"
+	PartPrefix    = "m/p/"
+	GangPrefix    = "m/g/"
+	MailboxPrefix = "m/r/"
+	ImagePrefix   = "m/i/"
 	// Since format 2:
-	ContinuationPrefix   = "m/x/"
-	FormatPrefix = "m/f/"
+	ContinuationPrefix = "m/x/"
+	FormatPrefix       = "m/f/"
 	// Since format 3:
 	NeedsPrefix = "m/n/"
 	LeaderKey   = "m/leader"
@@ -52,16 +52,16 @@
 
 // Job is the record of one job, the sole truth about it.
 type Job struct {
-	Spec    *Spec    `msgpack:"s,omitempty"`
-	State   int      `msgpack:"st"`
-	Frames  int      `msgpack:"n"`
-	At      int64    `msgpack:"at"`           // wall-clock ms when accepted; orders queues only
-	Next    uint64   `msgpack:"nx"`           // next attempt number; never goes back
-	DoneSet [][2]int `msgpack:"dn,omitempty"` // half-open ranges of done tasks
-	Active  Actives  `msgpack:"ac,omitempty"`
-	Errors  int      `msgpack:"er,omitempty"` // errors in a row, for back-off
-	Avoid   []string `msgpack:"av,omitempty"` // the last machines it failed on
-	Continuations    int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
+	Spec          *Spec    `msgpack:"s,omitempty"`
+	State         int      `msgpack:"st"`
+	Frames        int      `msgpack:"n"`
+	At            int64    `msgpack:"at"`           // wall-clock ms when accepted; orders queues only
+	Next          uint64   `msgpack:"nx"`           // next attempt number; never goes back
+	DoneSet       TaskSet  `msgpack:"dn,omitempty"` // tasks that are done
+	Active        Actives  `msgpack:"ac,omitempty"`
+	Errors        int      `msgpack:"er,omitempty"` // errors in a row, for back-off
+	Avoid         []string `msgpack:"av,omitempty"` // the last machines it failed on
+	Continuations int      `msgpack:"mo,omitempty"` // further keys that hold active tasks, from 1 on; format 2
 
 	// Where the record has no room for the jobs that it waits on, they stand in
 	// further keys, which are complete before the record is written and never change.
@@ -137,7 +137,9 @@
 func PartKey(name string) string { return PartPrefix + name }
 
 // ContinuationKey is the key of a job's further active tasks.
-func ContinuationKey(ref string, k int) string { return ContinuationPrefix + ref + "/" + strconv.Itoa(k) }
+func ContinuationKey(ref string, k int) string {
+	return ContinuationPrefix + ref + "/" + strconv.Itoa(k)
+}
 
 // SplitContinuation is the reverse of MoreKey.
 func SplitContinuation(key string) (ref string, k int) {
--- /dev/null
+++ b/internal/wire/taskset.go
@@ -0,0 +1,53 @@
+package wire
+
+import (
+	"slices"
+	"sort"
+)
+
+// TaskRange is a run of neighbouring task numbers, without its end.
+type TaskRange struct {
+	//lint:ignore U1000 the MessagePack library reads the options in its tag
+	_msgpack   struct{} `msgpack:",as_array"`
+	First, End int
+}
+
+// TaskSet is a set of task numbers as sorted ranges that do not touch.
+type TaskSet []TaskRange
+
+// Range is the set of the tasks from first on, up to but without end.
+func Range(first, end int) TaskSet { return TaskSet{{First: first, End: end}} }
+
+// With gives the set with one more task. It may change the set in place.
+func (s TaskSet) With(task int) TaskSet {
+	i := sort.Search(len(s), func(i int) bool { return s[i].End >= task })
+	switch {
+	case i < len(s) && s[i].First <= task && task < s[i].End:
+	case i < len(s) && s[i].End == task:
+		s[i].End++
+		if i+1 < len(s) && s[i+1].First == task+1 {
+			s[i].End = s[i+1].End
+			s = slices.Delete(s, i+1, i+2)
+		}
+	case i < len(s) && s[i].First == task+1:
+		s[i].First--
+	default:
+		s = slices.Insert(s, i, TaskRange{First: task, End: task + 1})
+	}
+	return s
+}
+
+// Has tells whether a task is in the set.
+func (s TaskSet) Has(task int) bool {
+	i := sort.Search(len(s), func(i int) bool { return s[i].End > task })
+	return i < len(s) && s[i].First <= task
+}
+
+// Count is how many tasks are in the set.
+func (s TaskSet) Count() int {
+	count := 0
+	for _, r := range s {
+		count += r.End - r.First
+	}
+	return count
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -80,7 +80,7 @@
 }
 
 func TestRecordsSurviveEncoding(t *testing.T) {
-	j := Job{Spec: &Spec{Ref: "wk-1", Frames: 9}, Frames: 9, Next: 4, DoneSet: [][2]int{{0, 2}, {5, 6}},
+	j := Job{Spec: &Spec{Ref: "wk-1", Frames: 9}, Frames: 9, Next: 4, DoneSet: TaskSet{{First: 0, End: 2}, {First: 5, End: 6}},
 		Active: []Active{{Task: 3, Attempt: 2, Part: 1, Host: "vm-1", Session: 4, Stop: Preempt}, {Task: 4, Attempt: 3}}}
 	b, err := Encode(&j)
 	if err != nil {
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -243,18 +243,18 @@
 	}
 	for i := range 3 {
 		for _, n := range w.nodes {
-			w.after(time.Duration(i*4000+w.rng.IntN(4000))*time.Microsecond, func() { u.askAt(n, "poll", nil) })
+			w.after(time.Duration(i*4000+w.rng.IntN(4000))*time.Microsecond, func() { u.askAt(n, wire.Poll, nil) })
 		}
 	}
 	w.after(time.Duration(w.rng.IntN(5000))*time.Microsecond, func() {
-		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], "submit", u.body())
+		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], wire.Submit, u.body())
 	})
 	if u.told != wire.StatusDone && !u.asked && strings.HasPrefix(u.spec.Ref, bulkIDs) && w.rng.IntN(6) == 0 {
 		w.after(time.Duration(w.rng.IntN(8000))*time.Microsecond, func() { w.Withdraw(u.spec.Ref) })
 	}
 }
 
-func (u *userSim) askAt(n *node, kind string, body []byte) {
+func (u *userSim) askAt(n *node, kind wire.RequestKind, body []byte) {
 	asked := u.w.now
 	u.w.askOf(n, kind, u.spec.Ref, body, 2*time.Second, func(r core.Reply) {
 		switch r.Status {
@@ -282,12 +282,12 @@
 	kind := w.rng.IntN(4)
 	if kind == 0 && len(unfinished) > 0 {
 		u := unfinished[w.rng.IntN(len(unfinished))]
-		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], "submit", u.body())
+		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], wire.Submit, u.body())
 		return
 	}
 	if kind == 1 && len(done) > 0 {
 		u := done[w.rng.IntN(len(done))]
-		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], "withdraw", nil)
+		u.askAt(w.nodes[w.rng.IntN(len(w.nodes))], wire.Withdraw, nil)
 		return
 	}
 	w.odd++
@@ -309,11 +309,11 @@
 		want = 400
 		body = lacking(body, w.rng.IntN(1<<20))
 	}
-	w.askOf(w.nodes[w.rng.IntN(len(w.nodes))], "submit", u.spec.Ref, body, 5*time.Second, func(r core.Reply) {
+	w.askOf(w.nodes[w.rng.IntN(len(w.nodes))], wire.Submit, u.spec.Ref, body, 5*time.Second, func(r core.Reply) {
 		w.judgeOdd(u.spec.Ref, want, r.Status)
 	})
 	w.after(8*time.Second, func() {
-		w.askOf(w.nodes[w.rng.IntN(len(w.nodes))], "poll", u.spec.Ref, nil, 2*time.Second, func(r core.Reply) {
+		w.askOf(w.nodes[w.rng.IntN(len(w.nodes))], wire.Poll, u.spec.Ref, nil, 2*time.Second, func(r core.Reply) {
 			if r.Status == 200 {
 				w.broke("invented", "%s is known though it was refused", u.spec.Ref)
 			}
--- a/internal/world/people.go
+++ b/internal/world/people.go
@@ -67,7 +67,7 @@
 }
 
 // at asks some controller that is up; code 0 means that no answer came.
-func (w *World) at(kind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
+func (w *World) at(kind wire.RequestKind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	if u := w.users[ref]; u != nil && u.only >= 0 {
 		n = w.nodes[u.only]
@@ -76,7 +76,7 @@
 }
 
 // askOf is at for one controller.
-func (w *World) askOf(n *node, kind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
+func (w *World) askOf(n *node, kind wire.RequestKind, ref string, body []byte, patience time.Duration, f func(core.Reply)) {
 	answered := false
 	get := func(r core.Reply) {
 		if !answered {
@@ -94,7 +94,7 @@
 
 func (u *userSim) send(first time.Duration, body []byte) {
 	asked := u.w.now
-	u.w.at("submit", u.spec.Ref, body, 5*time.Second, func(r core.Reply) {
+	u.w.at(wire.Submit, u.spec.Ref, body, 5*time.Second, func(r core.Reply) {
 		u.codes = append(u.codes, r.Status)
 		switch {
 		case r.Status == 200 || r.Status == 201:
@@ -116,7 +116,7 @@
 		return
 	}
 	asked := u.w.now
-	u.w.at("poll", u.spec.Ref, nil, 2*time.Second, func(r core.Reply) {
+	u.w.at(wire.Poll, u.spec.Ref, nil, 2*time.Second, func(r core.Reply) {
 		u.lastCode = r.Status
 		switch r.Status {
 		case 200:
@@ -171,7 +171,7 @@
 	u := w.users[ref]
 	u.asked = true
 	asked := w.now
-	w.at("withdraw", ref, nil, 5*time.Second, func(r core.Reply) {
+	w.at(wire.Withdraw, ref, nil, 5*time.Second, func(r core.Reply) {
 		if r.Status != 200 {
 			w.after(time.Second, func() { w.Withdraw(ref) })
 			return
