--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -2,9 +2,11 @@
 
 import "slices"
 
-// isBackfill tells whether a job is to fill what is spare: work of low urgency of
-// a team without a guarantee. Ordinary machines are neither hired for it nor
-// taken out of idleness, until it has waited for longer with nothing started.
+// Backfill is work of low urgency of teams without a guarantee. It runs on capacity that
+// is paid for and unused anyway.
+
+// isBackfill tells whether a job is backfill. Ordinary machines are neither hired for it
+// nor given to it while idle, unless it has waited for long with nothing started.
 func (p *plan) isBackfill(w *queuedJob) bool {
 	j := w.j
 	t := &p.n.cfg.Teams[j.team]
@@ -14,9 +16,9 @@
 	return len(j.rec.Active) > 0 || j.rec.Next > 1 || j.blockedSince == 0 || p.n.now-j.blockedSince < backfillPatience
 }
 
-// splitBackfill takes the work that is to fill what is spare out of the queues. It is
-// served when the room that others will need at once has been set aside.
-func (p *plan) splitBackfill(qs []*teamQueue) (rest, spares []*teamQueue) {
+// splitBackfill takes backfill out of the queues. It is served after room has been set
+// aside for what others will need at once.
+func (p *plan) splitBackfill(qs []*teamQueue) (rest, backfill []*teamQueue) {
 	for _, q := range qs {
 		if slices.ContainsFunc(q.jobs, p.isBackfill) {
 			x := &teamQueue{team: q.team}
@@ -27,19 +29,18 @@
 				}
 				return false
 			})
-			spares = append(spares, x)
+			backfill = append(backfill, x)
 			p.hasBackfill = true
 		}
 	}
-	return qs, spares
+	return qs, backfill
 }
 
-// backfillPatience is how long work that fills what is spare waits for that.
+// backfillPatience is how long backfill waits before it may have ordinary machines.
 const backfillPatience = 60 * second
 
-// reserveRoom takes free room for tasks that will probably come before what fills
-// spare room could be stopped for them: that takes a report to be told and one to
-// show it.
+// reserveRoom keeps free room from backfill for tasks that will probably come before
+// backfill could be stopped for them, which takes two reports of a machine.
 func (p *plan) reserveRoom(j *job, tasks int) {
 	for range tasks {
 		s := p.up.best(j, nil, nil)
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -6,10 +6,10 @@
 	"micaport/internal/wire"
 )
 
-// chain is what ties a job to those that it waits on and to those that wait on it.
-// A job waits for all that it names to be done, which is final; so nothing of a job
-// below a withdrawn one has ever run, and that it is withdrawn itself follows from
-// the records of those above it. Only jobs that have such ties have a chain.
+// chain links a job to the jobs that it waits on and to those that wait on it. A job
+// may start only when all that it names are done, which is final. So no task of a job
+// below a withdrawn one has ever run, and that the job is withdrawn too follows from the
+// records of its ancestors. Jobs without such links have no chain.
 type chain struct {
 	needs             []int // jobs that it waits on and that were not done when it was submitted
 	dependents        []int // jobs that wait on it
@@ -29,6 +29,7 @@
 	return n.jobs[ix]
 }
 
+// ensureChain gives the job's chain, which it makes if there is none.
 func (j *job) ensureChain() *chain {
 	if j.chain == nil {
 		j.chain = &chain{}
@@ -97,8 +98,8 @@
 // it may as well take in what else the same changes bring.
 const stagePause = 20 * time.Millisecond
 
-// notifyDependents tells the jobs that wait on one that it is done or withdrawn. What it costs
-// follows from how many they are.
+// notifyDependents updates the jobs that wait on one that is done or withdrawn. Its cost
+// is proportional to their number.
 func (n *Node) notifyDependents(j *job) {
 	c := j.chain
 	if c == nil || j.rec.State == wire.Live {
@@ -107,7 +108,7 @@
 	for _, ix := range c.dependents {
 		d := n.jobs[ix]
 		if d.chain == nil {
-			continue // it is over itself
+			continue // it is finished itself
 		}
 		if j.rec.State == wire.Withdrawn {
 			n.markWithdrawn(d)
@@ -118,7 +119,8 @@
 	j.chain = nil // finished jobs are kept for ever, and are very many
 }
 
-// markWithdrawn marks a job, and all that need it, as withdrawn with one that they need.
+// markWithdrawn marks a job and all its descendants, each of them once, as withdrawn with
+// an ancestor. It walks them with a list of its own: chains may be deep.
 func (n *Node) markWithdrawn(j *job) {
 	for list := []*job{j}; len(list) > 0; {
 		j, list = list[len(list)-1], list[:len(list)-1]
@@ -134,8 +136,9 @@
 	}
 }
 
-// recordWithdrawals writes down what follows from other records anyway, with puts that
-// nothing else needs, so that the jobs need not be kept in mind.
+// recordWithdrawals writes the withdrawals that follow from other records, with writes
+// that nothing else needs. Answers to users don't depend on it; it lets controllers drop
+// the jobs from memory.
 func (n *Node) recordWithdrawals(w *writer) {
 	for len(n.derivedWithdrawals) > 0 {
 		j := n.jobs[n.derivedWithdrawals[0]]
@@ -158,40 +161,48 @@
 	}
 }
 
-// propagateUrgency passes on to what a job needs how urgent it is, and by when it has to begin
-// to be done in time. One deadline and one urgency at the end of a chain so hold
-// for all of it.
+// propagateUrgency passes the urgency of a job, and the time by which it has to begin to
+// be in time, on to all its ancestors: users set one deadline and one urgency, at the end
+// of the chain. An ancestor is visited again only when this changes something for it.
 func (n *Node) propagateUrgency(j *job) {
 	for list := []*job{j}; len(list) > 0; {
 		j, list = list[len(list)-1], list[:len(list)-1]
 		if j.rec == nil || j.rec.Spec == nil {
-			continue // it will, when its record shows
+			continue // its record, once it is seen, propagates further
 		}
-		c, sp := j.chain, j.rec.Spec
-		if own := j.rec.At + int64(sp.DueS*1000); sp.DueS > 0 && (c.dueMS == 0 || own < c.dueMS) {
+		c, spec := j.chain, j.rec.Spec
+		if own := j.rec.At + int64(spec.DueS*1000); spec.DueS > 0 && (c.dueMS == 0 || own < c.dueMS) {
 			c.dueMS = own
 		}
-		start := c.dueMS - n.runTime(sp).Milliseconds() - n.cfg.Report.Milliseconds()
-		for _, ix := range c.needs {
-			a := n.jobs[ix]
-			if a.chain == nil || a.rec != nil && a.rec.State != wire.Live {
-				continue
-			}
-			more := false
-			if a.prio < j.prio {
-				a.prio, more = j.prio, true
-				n.roomChanged(a)
-			}
-			if up := a.chain; c.dueMS != 0 && (up.dueMS == 0 || start < up.dueMS) {
-				up.dueMS, more = start, true
-			}
-			if more {
-				list = append(list, a)
+		var latestStartMS int64
+		if c.dueMS != 0 {
+			latestStartMS = c.dueMS - n.runTime(spec).Milliseconds() - n.cfg.Report.Milliseconds()
+		}
+		for _, index := range c.needs {
+			if need := n.jobs[index]; n.raiseUrgency(need, j.prio, latestStartMS) {
+				list = append(list, need)
 			}
 		}
 	}
 }
 
+// raiseUrgency makes a job at least as urgent as one that needs it, and due when that has
+// to begin, 0 for no such time. It tells whether this changes anything.
+func (n *Node) raiseUrgency(need *job, urgency int, dueMS int64) bool {
+	if need.chain == nil || need.rec != nil && need.rec.State != wire.Live {
+		return false
+	}
+	changed := false
+	if need.prio < urgency {
+		need.prio, changed = urgency, true
+		n.roomChanged(need)
+	}
+	if c := need.chain; dueMS != 0 && (c.dueMS == 0 || dueMS < c.dueMS) {
+		c.dueMS, changed = dueMS, true
+	}
+	return changed
+}
+
 // roomChanged forgets what was worked out for the machines that a job is on.
 func (n *Node) roomChanged(j *job) {
 	if j.rec == nil {
--- a/internal/core/pause.go
+++ b/internal/core/pause.go
@@ -2,17 +2,16 @@
 
 import "time"
 
-// pauseThreshold is how long no timer has to have fired for us to have stood still
-// rather than to be slow.
+// pauseThreshold is the gap between two steps from which on the process counts as having
+// been paused rather than slow. A timer fires every 50 ms.
 const pauseThreshold = 1500 * time.Millisecond
 
-// resumeAfterPause finds out that we have stood still while the clocks ran on. What we know
-// is as old as that, though little of it shows its age: machines that could not
-// reach us seem silent, and so do peers; parts may have gone to others. Before
-// this, a controller that resumeAfterPause within its validity had all its machines returned
-// as dead. Nothing is done as an owner before a proof that was sent after it, nor
-// as the leader before peers have had the time to tell; silence, and where
-// machines turn to, counts anew.
+// resumeAfterPause discards what a pause of the process has made stale, while the clocks
+// ran on. Machines and peers that could not reach us seem silent, and parts may have been
+// taken over. Before this, a controller that resumed within its validity had all its
+// machines returned as dead. As an owner we now act only after a proof that was sent
+// after the pause, as the leader only after peers have had the time to report; silence of
+// machines, and reports of theirs to other controllers, are counted anew.
 func (n *Node) resumeAfterPause(gap Time) {
 	n.log(LogInfo, "stood still", "for", gap)
 	n.resumedAt, n.checks, n.checkAt = n.now, nil, 0
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"slices"
+
+	"micaport/internal/wire"
+)
+
+// usage is what a team's tasks take.
+type usage struct{ cores, cards float64 }
+
+func (u *usage) add(sp *wire.Spec, k float64) {
+	u.cores += sp.Cores * k
+	u.cards += sp.Cards * k
+}
+
+// plan holds the state of one planning pass.
+type plan struct {
+	n           *Node
+	w           *writer
+	up          *slotSet // machines up
+	expected    *slotSet // machines booting, hired or to be hired
+	used        []usage  // by team
+	hires       map[pool]int
+	count       map[pool]int  // machines of each pool, up, coming or planned
+	starved     *queuedJob    // the gang that gathers room before all others
+	kept        []wire.Kept   // for it
+	unmet       []unmetDemand // demands that found no free room in this pass
+	hasBackfill bool          // there is backfill
+	ungranted   int           // grants that found no put, at most 50
+	stops       int
+	waiting     int // tasks for which there was no room
+}
+
+// plan grants waiting tasks to parts, in the order of the queue, and works
+// out what to hire, stop and return. It tells how many jobs were left for want
+// of puts.
+func (n *Node) plan(w *writer) int {
+	p := n.newPlan(w)
+	p.addMachines()
+	p.chargeTeams()
+	p.chargeGrants()
+	n.addExpected(p)
+	idle := p.idleSlots()
+	queues, backfill := p.splitBackfill(n.queues())
+	left := p.serveQueues(queues)
+	if !slices.Equal(p.kept, n.leader.kept) {
+		n.leader.kept = p.kept
+		n.gossip(true)
+	}
+	p.planStages()
+	p.keepReserve()
+	// Backfill must not claim the writes that others need.
+	left += (p.serveQueues(backfill) - left) / backfillShare
+	p.logRoom(idle)
+	n.hireAndReturn(p, idle)
+	return left
+}
+
+// newPlan begins a planning pass with nothing known.
+func (n *Node) newPlan(w *writer) *plan {
+	return &plan{
+		n: n, w: w, up: newSlotSet(n), expected: newSlotSet(n),
+		used: make([]usage, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{},
+	}
+}
+
+// addMachines takes in the machines that tasks may be granted to.
+func (p *plan) addMachines() {
+	for _, x := range p.n.parts {
+		for _, h := range x.hosts {
+			p.n.work++
+			if s := p.n.leaderSlot(h); s != nil {
+				p.up.add(s)
+				p.count[s.pool()]++
+			}
+		}
+	}
+}
+
+// chargeTeams counts every active task against its team, whatever the job's state.
+func (p *plan) chargeTeams() {
+	for _, index := range p.n.live {
+		if j := p.n.jobs[index]; j.rec.Spec != nil && j.team >= 0 {
+			p.used[j.team].add(j.rec.Spec, float64(len(j.rec.Active)))
+		}
+	}
+}
+
+// logRoom logs how much of the site is in use, for debugging.
+func (p *plan) logRoom(idle map[*slot]bool) {
+	n := p.n
+	idleSpot, spot, half := 0, 0, 0
+	for _, s := range p.up.all {
+		switch {
+		case s.spot && idle[s]:
+			idleSpot++
+		case !idle[s] && s.cards >= 1:
+			half++
+		}
+		if s.spot {
+			spot++
+		}
+	}
+	n.log(LogDebug, "room", "up", len(p.up.all), "spot", spot, "idle", len(idle), "idle_spot", idleSpot, "partly_free", half, "coming", len(p.expected.all), "hires", len(n.leader.cloud.hires), "blocked", p.waiting)
+}
+
+// backfillShare is how many grants of backfill without a write left count as one pending
+// record when the writes are shared.
+const backfillShare = 3
+
+// chargeGrants takes room for grants that their owners have not placed yet.
+func (p *plan) chargeGrants() {
+	n := p.n
+	var byHost map[*host]*slot
+	for _, jx := range n.live {
+		j := n.jobs[jx]
+		if j.rec.Spec == nil || j.unplaced == 0 {
+			continue
+		}
+		if byHost == nil {
+			byHost = make(map[*host]*slot, len(p.up.all))
+			for _, s := range p.up.all {
+				byHost[s.h] = s
+			}
+		}
+		for _, a := range j.rec.Active {
+			if a.Host != "" {
+				continue
+			}
+			s := byHost[n.leader.hint[taskKey{j.ix, a.Task, a.Attempt}]]
+			if s == nil {
+				s = p.up.best(j, func(s *slot) bool { return s.part == a.Part }, nil)
+			}
+			if s != nil {
+				s.take(j.rec.Spec)
+			}
+		}
+	}
+}
+
+// unsureFor is how long a machine that has not yet shown its owner's term may
+// be planned with. A new one shows it with its second report; what only a late
+// copy tells of, never.
+const unsureFor = 3 * second
+
+// leaderSlot is a machine that tasks may be granted to. Its owner's word is
+// used as long as it lasts; when the owner can be reached through the state
+// service only, what it said last has to do.
+func (n *Node) leaderSlot(h *host) *slot {
+	v := &h.info
+	if h.returned || !v.known || v.leaving || v.sick || v.lost || h.retiring || v.unsure && n.now-h.unsureAt > unsureFor {
+		return nil
+	}
+	p := n.parts[h.part]
+	if p.rec == nil {
+		return nil
+	}
+	if owner := n.peers[p.rec.Owner]; p.rec.Owner != n.cfg.Self && (owner == nil || n.now-owner.at > 5*second) {
+		if owner != nil && n.now-owner.at > 3*n.cfg.Lease || n.now-p.changed > 3*n.cfg.Lease && h.infoTerm != p.rev {
+			return nil
+		}
+	} else if v.quiet > 1 || h.infoTerm != p.rev && n.now-p.changed > 4*n.cfg.Report {
+		return nil
+	}
+	if n.leader.cloud.retiring[h.name] {
+		return nil
+	}
+	return n.slotOf(h)
+}
+
+func (p *plan) idleSlots() map[*slot]bool {
+	idle := map[*slot]bool{}
+	for _, s := range p.up.all {
+		if len(s.h.on) == 0 && s.untouched() {
+			idle[s] = true
+		}
+	}
+	return idle
+}
+
+// grant writes tasks of a job to parts, as one attempt.
+func (p *plan) grant(j *job, tasks []int, slots []*slot) bool {
+	n := p.n
+	rec := p.w.job(j)
+	if rec == nil {
+		p.ungranted = min(p.ungranted+1, 50)
+		return false
+	}
+	was := rec.Next
+	attempt := p.w.attempt(j, rec)
+	parts := map[int]bool{}
+	own := true
+	for _, s := range slots {
+		parts[s.part] = true
+		own = own && n.mayPlace(s)
+	}
+	own = own && (len(parts) == 1 || rec.Spec.Shape != wire.ShapeGang)
+	for i, t := range tasks {
+		s := slots[i]
+		a := wire.Active{Task: t, Attempt: attempt, Part: s.part}
+		if own {
+			a.Host, a.Session = s.h.name, s.h.session
+			p.w.parts[s.part] = true
+			n.leader.placing = append(n.leader.placing, placing{s.h, rec.Spec})
+		} else {
+			n.leader.hint[taskKey{j.ix, t, attempt}] = s.h
+		}
+		rec.Active = append(rec.Active, a)
+	}
+	if len(parts) > 1 && rec.Spec.Shape == wire.ShapeGang {
+		g := &wire.Gang{Attempt: attempt}
+		for ix := range n.parts {
+			if parts[ix] {
+				g.Parts = append(g.Parts, ix)
+			}
+		}
+		key := wire.GangKey(j.ref, attempt)
+		if !p.w.also(Write{Key: key, Value: g}, Cond{key, 0}) {
+			rec.Active, rec.Next = rec.Active[:len(rec.Active)-len(tasks)], was
+			delete(p.w.tries, j.ix)
+			p.ungranted = min(p.ungranted+1, 50)
+			return false
+		}
+	}
+	p.used[j.team].add(rec.Spec, float64(len(tasks)))
+	j.grantedAt = n.now
+	if len(n.leader.hint) > 4096+4*n.cfg.BulkTasks {
+		clear(n.leader.hint)
+	}
+	n.log(LogDebug, "granted", "job", j.ref, "attempt", attempt, "tasks", len(tasks), "part", n.parts[slots[0].part].name)
+	return true
+}
+
+// mayPlace tells whether the leader may choose the machine in the grant, since it
+// owns the part as well: one put does for both. The commit then rests on both
+// keys. While our own owner's batch is under way, what that places is not known
+// here yet.
+func (n *Node) mayPlace(s *slot) bool {
+	return s.h != nil && n.valid(n.parts[s.part]) && !n.owner.active && n.usable(s.h)
+}
+
+// quota tells whether a team may use room for k more tasks.
+func (p *plan) quota(j *job, k int) bool {
+	if j.team < 0 {
+		return false
+	}
+	sp, u, t := j.rec.Spec, p.used[j.team], &p.n.cfg.Teams[j.team]
+	return !over(u.cores+sp.Cores*float64(k), t.CoresMax) && !over(u.cards+sp.Cards*float64(k), t.CardsMax)
+}
--- a/internal/core/stage_test.go
+++ b/internal/core/stage_test.go
@@ -52,7 +52,7 @@
 
 // planned is how many machines a pass that plans stages only wants to hire.
 func planned(n *Node) (machines int) {
-	p := &plan{n: n, w: newWriter(n), up: newSlotSet(n), expected: newSlotSet(n), used: make([]usage, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{}}
+	p := n.newPlan(newWriter(n))
 	p.planStages()
 	for _, count := range p.hires {
 		machines += count
--- a/internal/core/write_budget.go
+++ b/internal/core/write_budget.go
@@ -2,32 +2,31 @@
 
 import "time"
 
-// writeBudget is what we may still put into the state service now. The service
-// allows few puts, for all controllers together; a tenth is left for what
-// can't wait, which are claims, submissions and withdrawals. The rest is
-// shared by need: each controller tells how many records it has to write, and
-// takes the share that this gives it. What is decided is thus written at once,
-// before others have changed the records that it rests on.
+// writeBudget limits our writes to the state service, which allows few a second for all
+// controllers together. A tenth is left for claims, submissions and withdrawals, which
+// can't wait. The rest is shared in proportion to need: each controller reports how many
+// records it has to write and takes the share that follows. So what is decided is written
+// at once, before others change the records that the decision is based on.
 type writeBudget struct {
 	available   float64
 	availableAt Time
 	rate        float64
 	rateAt      Time
-	backlogS    float64 // seconds that all controllers would take for what waits to be written
-	seenWrites  float64 // puts that our watch has shown since usedAt
+	backlogS    float64 // seconds that the pending records of all controllers take to write
+	seenWrites  float64 // writes that our watch has shown since measuredAt
 	measuredAt  Time
-	writesPerS  float64 // puts a second by all, over the last while
+	writesPerS  float64 // of all controllers, as a moving average
 
 	seenUserWrites int     // submissions and withdrawals among those
-	userWritesPerS float64 // of these a second, over the last while
-	reducedUntil   Time    // until when the rate to come is kept to
-	reducedFor     Time
-	pendingRecords int // records that wait to be written by us
-	pendingGrants  int // of these, grants that the last pass of the leader found no put for
+	userWritesPerS float64 // the same as a moving average
+	reducedUntil   Time    // until then the service's next rate is kept to
+	reducedFor     Time    // for how long that was last
+	pendingRecords int     // records that wait to be written by us
+	pendingGrants  int     // of these, grants that the leader's last pass had no write left for
 }
 
-// noteRefusal notes that the service refused puts as too many: the rate that it is to
-// allow from some moment on may hold already. It is kept to for longer each time.
+// noteRefusal notes that the service refused writes as too many: its next, lower rate may
+// be in force already. We keep to that for a while, twice as long after each refusal.
 func (p *writeBudget) noteRefusal(now Time) {
 	if now < p.reducedUntil {
 		return
@@ -44,8 +43,8 @@
 	return n.cfg.WriteRPS
 }
 
-// bulkShare is the part of the puts that is shared by need: nine tenths, and less
-// when users submit and withdraw a lot, or they would be refused.
+// bulkShare is the part of the writes that is shared in proportion to need: nine tenths,
+// and less where users submit and withdraw a lot, as they would be refused otherwise.
 func (n *Node) bulkShare() float64 {
 	return max(0.5, min(0.9, 0.95-1.25*n.budget.userWritesPerS/n.writeRPS()))
 }
