A long list of needs is not handed to a peer before all read such lists

Cause: found by reading. A controller that alone is refused by the state service handed a submission to a peer, and a peer of format 2 answers 422, which users don't repeat, to more names than a record holds. Now it is put off with 503 until all read format 3. The test of the core fails without.

--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -142,6 +142,24 @@
 	if r == nil || r.Status != 503 || r.RetryS == 0 || len(wrote) > 0 {
 		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
 	}
+	// Nor is it handed to a peer, which may answer 422.
+	n.storeOK = false
+	n.peers["n1"] = &peer{at: n.now, msg: &wire.Gossip{From: "n1", StoreOK: true}}
+	forwards := func(req uint64, needs ...string) (count int) {
+		for _, e := range n.Step(n.now+1, UserRequest{Req: req, Kind: wire.Submit, Body: submission("wk-000102", needs...)}) {
+			if _, is := e.(Forward); is {
+				count++
+			}
+		}
+		return count
+	}
+	if forwards(11, refs...) > 0 {
+		t.Error("a long list is handed on before all read it")
+	}
+	if forwards(12, refs[:5]...) != 1 {
+		t.Error("a short list is not handed on")
+	}
+	n.storeOK = true
 	r, wrote = settle(n, UserRequest{Req: 2, Kind: wire.Submit, Body: submission("wk-000101", refs[:5]...)}, nil)
 	if r == nil || r.Status != 201 || len(wrote) != 1 {
 		t.Errorf("answered with %+v, wrote %d", r, len(wrote))
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -189,8 +189,7 @@
 	if n.storeOK || op.Forwarded || op.handed {
 		return false
 	}
-	if op.spec != nil && len(op.spec.WaitsOn) > 0 && !n.writesChains() {
-		// A peer of the version before would take it for a job that waits on nothing.
+	if n.peersMayMisread(op.spec) {
 		n.later(op, notUpgraded)
 		return true
 	}
@@ -205,6 +204,20 @@
 	return false
 }
 
+// peersMayMisread tells whether a submission means something else to a peer of an earlier
+// version. One that reads format 1 takes a chained job for one that waits on nothing, and
+// one that reads format 2 answers 422 to names that its record has no room for.
+func (n *Node) peersMayMisread(spec *wire.Spec) bool {
+	switch {
+	case spec == nil || len(spec.WaitsOn) == 0 || n.writesLongNeeds():
+		return false
+	case !n.writesChains():
+		return true
+	}
+	return !n.fitsValue(n.newRecord(spec))
+}
+
+// forwarded answers a user with what a peer answered.
 func (n *Node) forwarded(f Forwarded) {
 	op := n.users.open[f.Req]
 	if op == nil {
@@ -264,7 +277,7 @@
 	// Types that nobody offers can't be had; leaving them out bounds the size
 	// of the record whatever the user sends.
 	s.Rigs = slices.DeleteFunc(s.Rigs, func(name string) bool { return n.flavor(n.rigs.Find(name)) == nil })
-	rec := &wire.Job{Spec: s, Frames: s.Frames, At: n.cfg.WallMS(), Next: 1}
+	rec := n.newRecord(s)
 	status := wire.StatusPending
 	if withdrawn {
 		// Withdrawn with what it names, before it could start.
@@ -289,6 +302,11 @@
 	})
 }
 
+// newRecord is the record of a job that is accepted now.
+func (n *Node) newRecord(spec *wire.Spec) *wire.Job {
+	return &wire.Job{Spec: spec, Frames: spec.Frames, At: n.cfg.WallMS(), Next: 1}
+}
+
 // fitRecord makes a new job's record fit a value, if need be by writing what it waits
 // on to further keys first.
 func (n *Node) fitRecord(op *userOp, rec *wire.Job) bool {
