--- a/internal/core/gang_placement.go
+++ b/internal/core/gang_placement.go
@@ -184,82 +184,125 @@
 	}
 }
 
+// What the ways of making room for a task of a gang cost, in seconds of waiting.
+const (
+	expectedCost = 15   // a machine that is on its way
+	evictionCost = 10   // stopping less urgent tasks, besides what they lose
+	drainCost    = 60   // waiting for the tasks on a machine to end
+	hireCost     = 30   // a machine to be hired
+	noHireCost   = 1000 // where none can be had
+	stayGain     = 10   // going on where room is being made already
+)
+
+// gathering works out where a gang's room in a zone could come from.
+type gathering struct {
+	p    *plan
+	w    *queuedJob
+	zone int // -1: any
+	all  []source
+	seen map[*slot]bool
+}
+
+// enough tells whether there are more sources than the choice needs.
+func (g *gathering) enough() bool { return len(g.all) >= 4*len(g.w.tasks) }
+
+// elsewhere tells whether a machine is not in the zone.
+func (g *gathering) elsewhere(s *slot) bool { return g.zone >= 0 && s.zone != g.zone }
+
 // gather works out what a gang's room in a zone would cost.
 func (p *plan) gather(w *queuedJob, zone int, mayEvict bool) *choice {
-	sp := w.j.rec.Spec
-	c := &choice{zone: zone}
+	g := &gathering{p: p, w: w, zone: zone, seen: map[*slot]bool{}}
 	canHire := p.canHire(w.j, zone)
-	var all []source
-	seen := map[*slot]bool{}
-	add := func(s *slot, cost float64) {
-		if s.reserved || seen[s] || zone >= 0 && s.zone != zone || !s.suits(w.j) || !s.fitsSoon(sp) {
-			return
-		}
-		seen[s] = true
-		// What it can take is worked out on a copy.
-		for room := *s; room.fitsSoon(sp) && len(all) < 4*len(w.tasks); {
-			room.in = nil
-			room.take(sp)
-			all = append(all, source{s: s, cost: cost})
+	g.addFree()
+	if mayEvict || !canHire {
+		g.addOccupied(mayEvict, !canHire)
+	}
+	slices.SortStableFunc(g.all, func(a, b source) int { return int(a.cost) - int(b.cost) })
+	if canHire {
+		if at := slices.IndexFunc(g.all, func(x source) bool { return x.cost > hireCost }); at >= 0 {
+			g.all = g.all[:at]
 		}
 	}
+	return g.choose(canHire)
+}
+
+// add takes in a machine with free room, once for each task that it has room for.
+func (g *gathering) add(s *slot, cost float64) {
+	spec := g.w.j.rec.Spec
+	if s.reserved || g.seen[s] || g.elsewhere(s) || !s.suits(g.w.j) || !s.fitsSoon(spec) {
+		return
+	}
+	g.seen[s] = true
+	// What it can take is worked out on a copy.
+	for room := *s; room.fitsSoon(spec) && !g.enough(); {
+		room.in = nil
+		room.take(spec)
+		g.all = append(g.all, source{s: s, cost: cost})
+	}
+}
+
+// addFree takes in room that is free, about to be free, or on its way.
+func (g *gathering) addFree() {
+	p := g.p
 	for _, k := range p.up.order {
-		if (zone < 0 || k.zone == zone) && w.j.allows(k.rig, k.zone, k.spot) {
+		if (g.zone < 0 || k.zone == g.zone) && g.w.j.allows(k.rig, k.zone, k.spot) {
 			for _, s := range *p.up.open[k] {
 				p.n.work++
-				add(s, 0)
+				g.add(s, 0)
 			}
 		}
 	}
 	for _, s := range p.up.soon {
-		add(s, 0)
+		g.add(s, 0)
 	}
 	for _, s := range p.expected.all {
-		if len(all) >= 4*len(w.tasks) {
+		if g.enough() {
 			break
 		}
-		add(s, 15)
+		g.add(s, expectedCost)
 	}
-	if mayEvict || !canHire {
-		for _, s := range p.up.all {
-			if zone >= 0 && s.zone != zone || s.reserved || seen[s] || s.h.leastPrio == noPrio || !s.suits(w.j) {
-				continue
-			}
-			p.n.work++
-			if mayEvict && s.h.leastPrio <= w.j.prio {
-				if v, ok := p.clearing(w, s, false); ok {
-					cost := 10.0
-					for _, x := range v {
-						cost += x.cost / 4
-					}
-					all = append(all, source{s: s, victims: v, cost: cost})
-					continue
-				}
-			}
-			if !canHire {
-				if _, ok := p.clearing(w, s, true); ok {
-					all = append(all, source{s: s, drain: true, cost: 60})
+}
+
+// addOccupied takes in machines whose tasks could be stopped or waited for.
+func (g *gathering) addOccupied(mayEvict, mayDrain bool) {
+	p, w := g.p, g.w
+	for _, s := range p.up.all {
+		if g.elsewhere(s) || s.reserved || g.seen[s] || s.h.leastPrio == noPrio || !s.suits(w.j) {
+			continue
+		}
+		p.n.work++
+		if mayEvict && s.h.leastPrio <= w.j.prio {
+			if victims, ok := p.clearing(w, s, false); ok {
+				cost := float64(evictionCost)
+				for _, x := range victims {
+					cost += x.cost / 4
 				}
+				g.all = append(g.all, source{s: s, victims: victims, cost: cost})
+				continue
 			}
 		}
-	}
-	slices.SortStableFunc(all, func(a, b source) int { return int(a.cost) - int(b.cost) })
-	if canHire {
-		if at := slices.IndexFunc(all, func(x source) bool { return x.cost > 30 }); at >= 0 {
-			all = all[:at]
+		if mayDrain {
+			if _, ok := p.clearing(w, s, true); ok {
+				g.all = append(g.all, source{s: s, drain: true, cost: drainCost})
+			}
 		}
 	}
-	c.from = all[:min(len(all), len(w.tasks))]
+}
+
+// choose takes the cheapest sources, and machines to be hired for the rest.
+func (g *gathering) choose(canHire bool) *choice {
+	tasks := len(g.w.tasks)
+	c := &choice{zone: g.zone, from: g.all[:min(len(g.all), tasks)]}
 	for _, x := range c.from {
 		c.cost += x.cost
 	}
-	c.hire = len(w.tasks) - len(c.from)
-	c.cost += float64(c.hire) * 30
+	c.hire = tasks - len(c.from)
+	c.cost += float64(c.hire) * hireCost
 	if c.hire > 0 && !canHire {
-		c.cost += 1000 * float64(c.hire)
+		c.cost += noHireCost * float64(c.hire)
 	}
-	if zone >= 0 && zone == w.j.gangZone {
-		c.cost -= 10 // rather go on where room is being made already
+	if g.zone >= 0 && g.zone == g.w.j.gangZone {
+		c.cost -= stayGain
 	}
 	return c
 }
