Scenario settings by name, one count of a team's use in the stand-in world, typed writes to the state service

No change of behaviour meant but that the stand-in world allows the same rounding where it looks for jobs left waiting as where it checks the quota.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,8 +62,16 @@
 }
 
 type commitBody struct {
-	If     []cond           `msgpack:"if"`
-	Writes []map[string]any `msgpack:"writes,omitempty"`
+	If     []cond  `msgpack:"if"`
+	Writes []write `msgpack:"writes,omitempty"`
+}
+
+// write puts or drops a key.
+type write struct {
+	Put   string `msgpack:"put,omitempty"`
+	Value any    `msgpack:"v,omitempty"`
+	Lease uint64 `msgpack:"permit,omitempty"`
+	Drop  string `msgpack:"drop,omitempty"`
 }
 
 type answer struct {
@@ -97,16 +105,11 @@
 			body.If = append(body.If, cond{x.Key, x.Rev})
 		}
 		for _, w := range q.Writes {
-			m := map[string]any{}
 			if w.Value == nil {
-				m["drop"] = w.Key
+				body.Writes = append(body.Writes, write{Drop: w.Key})
 			} else {
-				m["put"], m["v"] = w.Key, w.Value
-				if w.Lease != 0 {
-					m["permit"] = w.Lease
-				}
+				body.Writes = append(body.Writes, write{Put: w.Key, Value: w.Value, Lease: w.Lease})
 			}
-			body.Writes = append(body.Writes, m)
 		}
 		var a answer
 		out := c.call(q.Class, http.MethodPost, "/commit", body, &a)
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -426,19 +426,9 @@
 	if sp.Shape == wire.ShapeGang {
 		need = sp.Frames
 	}
-	cores, cards := float64(need)*sp.Cores, float64(need)*sp.Cards
-	for _, x := range w.order {
-		if x.spec.Team == sp.Team {
-			x.present(func(*workerSim, *taskSim) {
-				cores += x.spec.Cores
-				cards += x.spec.Cards
-			})
-		}
-	}
-	for _, t := range w.Teams {
-		if t.Name == sp.Team && (t.CoresMax > 0 && cores > t.CoresMax || t.CardsMax > 0 && cards > t.CardsMax) {
-			return false
-		}
+	cores, cards := w.teamUse(sp.Team)
+	if w.overLimit(sp.Team, cores+float64(need)*sp.Cores, cards+float64(need)*sp.Cards) {
+		return false
 	}
 	zones := map[string]int{}
 	for _, r := range free {
--- a/internal/world/rules.go
+++ b/internal/world/rules.go
@@ -42,25 +42,14 @@
 		}
 	}
 	zones := map[string]int{}
-	cores, cards := 0.0, 0.0
 	t.u.present(func(k2 *workerSim, x *taskSim) {
 		if x != t && x.task == t.task {
 			w.broke("ran_twice", "%s/%d: attempt %d on %s, attempt %d on %s", t.ref, t.task, t.attempt, k.m.Name, x.attempt, k2.m.Name)
 		}
 		zones[k2.m.Zone]++
 	})
-	for _, u := range w.order {
-		if u.spec.Team == sp.Team {
-			u.present(func(*workerSim, *taskSim) {
-				cores += u.spec.Cores
-				cards += u.spec.Cards
-			})
-		}
-	}
-	for _, team := range w.Teams {
-		if team.Name == sp.Team && (team.CardsMax > 0 && cards > team.CardsMax+1e-6 || team.CoresMax > 0 && cores > team.CoresMax+1e-6) {
-			w.broke("quota", "%s uses %v cards and %v cores", sp.Team, cards, cores)
-		}
+	if cores, cards := w.teamUse(sp.Team); w.overLimit(sp.Team, cores, cards) {
+		w.broke("quota", "%s uses %v cards and %v cores", sp.Team, cards, cores)
 	}
 	switch {
 	case k.m.Spot && !sp.Spot:
@@ -192,3 +181,27 @@
 	}
 	return faults
 }
+
+// teamUse is what the tasks of a team that are on machines take.
+func (w *World) teamUse(team string) (cores, cards float64) {
+	for _, u := range w.order {
+		if u.spec.Team == team {
+			u.present(func(*workerSim, *taskSim) {
+				cores += u.spec.Cores
+				cards += u.spec.Cards
+			})
+		}
+	}
+	return cores, cards
+}
+
+// overLimit tells whether a use is beyond a team's limit.
+func (w *World) overLimit(team string, cores, cards float64) bool {
+	const rounding = 1e-6
+	for _, t := range w.Teams {
+		if t.Name == team && (t.CardsMax > 0 && cards > t.CardsMax+rounding || t.CoresMax > 0 && cores > t.CoresMax+rounding) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -56,49 +56,49 @@
 	return nil
 }
 
+// numbers maps the names of settings to the numbers that they set.
+func (s *Settings) numbers() map[string]func(float64) {
+	whole := func(field *int) func(float64) { return func(x float64) { *field = int(x) } }
+	decimal := func(field *float64) func(float64) { return func(x float64) { *field = x } }
+	duration := func(field *time.Duration) func(float64) { return func(x float64) { *field = secs(x) } }
+	return map[string]func(float64){
+		"capacity":         whole(&s.Capacity),
+		"write_rps":        decimal(&s.WriteRPS),
+		"boot_s":           duration(&s.Boot),
+		"report_s":         duration(&s.Report),
+		"lease_s":          duration(&s.Lease),
+		"cancel_s":         duration(&s.Cancel),
+		"idle_s":           duration(&s.Idle),
+		"txn_ops":          whole(&s.TxnOps),
+		"value_bytes":      whole(&s.ValueBytes),
+		"next_write_rps":   decimal(&s.NextWriteRPS),
+		"next_txn_ops":     whole(&s.NextTxnOps),
+		"next_value_bytes": whole(&s.NextValueBytes),
+		"old_format":       whole(&s.OldFormat),
+	}
+}
+
+// read takes the settings of a scenario.
 func (s *Settings) read(text string) error {
+	numbers := s.numbers()
 	for _, line := range lines(text) {
 		f := strings.Fields(line)
-		num := func() float64 {
-			x, _ := strconv.ParseFloat(f[1], 64)
-			return x
-		}
 		if len(f) < 2 {
 			return fmt.Errorf("bad line %q", line)
 		}
-		switch f[0] {
-		case "nodes":
+		switch name := f[0]; {
+		case name == "nodes":
 			s.Nodes = f[1:]
-		case "zones":
+		case name == "zones":
 			s.Zones = f[1:]
-		case "capacity":
-			s.Capacity = int(num())
-		case "write_rps":
-			s.WriteRPS = num()
-		case "boot_s":
-			s.Boot = secs(num())
-		case "report_s":
-			s.Report = secs(num())
-		case "lease_s":
-			s.Lease = secs(num())
-		case "cancel_s":
-			s.Cancel = secs(num())
-		case "idle_s":
-			s.Idle = secs(num())
-		case "txn_ops":
-			s.TxnOps = int(num())
-		case "value_bytes":
-			s.ValueBytes = int(num())
-		case "next_write_rps":
-			s.NextWriteRPS = num()
-		case "next_txn_ops":
-			s.NextTxnOps = int(num())
-		case "next_value_bytes":
-			s.NextValueBytes = int(num())
-		case "old_format":
-			s.OldFormat = int(num())
+		case numbers[name] != nil:
+			x, err := strconv.ParseFloat(f[1], 64)
+			if err != nil {
+				return fmt.Errorf("bad number in %q", line)
+			}
+			numbers[name](x)
 		default:
-			return fmt.Errorf("unknown setting %s", f[0])
+			return fmt.Errorf("unknown setting %s", name)
 		}
 	}
 	return nil
