--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -9,7 +9,7 @@
 // nor given to it while idle, unless it has waited for long with nothing started.
 func (p *plan) isBackfill(w *queuedJob) bool {
 	j := w.j
-	t := &p.n.cfg.Teams[j.team]
+	t := p.n.teamTerms(j.team)
 	if j.prio > 0 || t.Cards > 0 || t.Cores > 0 {
 		return false
 	}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -45,6 +45,7 @@
 	Spares      int
 	MaxMachines int
 	Preempt     bool
+	Admission   Admission // what owners admit by themselves
 
 	WallMS func() int64 // time of day, for ordering queues only
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"micaport/internal/quota"
 	"micaport/internal/wire"
 )
 
@@ -57,6 +58,9 @@
 	derivedWithdrawals []int // jobs below a withdrawn one, not yet recorded as such
 	shrunk             bool  // no record is larger than the limits to come
 
+	ledger *quota.Ledger // of the teams' accounts and what is charged to them
+	terms  []Team        // the teams' guarantees and limits that are in force
+
 	formats  map[string]int // the format that each controller reads
 	agreed   int            // the newest format that all controllers read
 	formatAt Time           // when we leave our own record of it, if it is not there
@@ -123,9 +127,10 @@
 	stopJobs  map[int]bool       // gangs to be stopped in good order
 	grantSeen map[taskKey]Time
 
-	tidyAt     Time
-	imagesAt   Time
-	imagesKept int // entries in the record of images as last written
+	admissionAt Time // when we next look for work to admit by ourselves
+	tidyAt      Time
+	imagesAt    Time
+	imagesKept  int // entries in the record of images as last written
 }
 
 // leadership is how we come to lead, and stop.
@@ -181,6 +186,7 @@
 		n.teams.Of(cfg.Teams[i].Name)
 	}
 	n.makeParts()
+	n.makeLedger()
 	for _, o := range cfg.Waits {
 		at := slices.IndexFunc(n.arrivals, func(a *arrivals) bool { return a.class == o.Class })
 		if at < 0 {
@@ -189,6 +195,7 @@
 			n.arrivals[at].within = min(n.arrivals[at].within, o.Within)
 		}
 	}
+	n.leader.dealtAt = dealTimes(len(cfg.Teams))
 	n.leader.reset()
 	n.owner.name = "owner"
 	return n
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -56,5 +56,9 @@
 // further keys.
 func (n *Node) writesChains() bool { return n.agreed >= wire.FormatChains }
 
+// writesAccounts tells whether teams may have accounts, and owners admit work within
+// their shares.
+func (n *Node) writesAccounts() bool { return n.agreed >= wire.FormatAccounts }
+
 // writesLongNeeds tells whether what jobs wait on may stand in further keys.
 func (n *Node) writesLongNeeds() bool { return n.agreed >= wire.FormatLongNeeds }
--- a/internal/core/gang_placement.go
+++ b/internal/core/gang_placement.go
@@ -9,18 +9,22 @@
 // serveGang grants a whole gang or nothing.
 func (p *plan) serveGang(w *queuedJob) {
 	j, sp := w.j, w.j.rec.Spec
+	if p.admission != nil {
+		p.admitGang(w)
+		return
+	}
 	if !p.quota(j, len(w.tasks)) {
 		// Its team's smaller jobs would take what becomes free of the limit
 		// for ever: after its patience the limit is kept for it.
 		p.noteBlocked(j)
 		if j.team >= 0 && p.n.now-j.blockedSince > gangPatience {
-			p.used[j.team].add(sp, float64(len(w.tasks)))
+			p.charge(j, len(w.tasks))
 		}
 		return
 	}
 	if chosen := p.gangSlots(w); chosen != nil {
 		if !p.grant(j, w.tasks, chosen) {
-			p.used[j.team].add(sp, float64(len(w.tasks)))
+			p.charge(j, len(w.tasks))
 		}
 		for _, s := range chosen {
 			s.fetching(j)
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -315,7 +315,9 @@
 const strayFor = 12 * second
 
 // strays names machines of others that came here lately although their owner
-// says that it misses their reports. It needs no others.
+// says that it misses their reports, in order of name. It needs no others, but it needs
+// all of these: one that is left out counts as lost and is returned, and after an owner's
+// failure its machines, thousands at a large site, all come to its peers at once.
 func (n *Node) strays() []string {
 	var out []string
 	n.strayed = slices.DeleteFunc(n.strayed, func(ix int) bool {
@@ -324,11 +326,12 @@
 			h.straying = false
 			return true
 		}
-		if h.info.quiet > 0 && len(out) < 500 {
+		if h.info.quiet > 0 {
 			out = append(out, h.name)
 		}
 		return false
 	})
+	slices.Sort(out)
 	return out
 }
 
@@ -349,7 +352,7 @@
 			continue
 		}
 		heard = true
-		if slices.Contains(p.msg.Strays, h.name) {
+		if _, strayed := slices.BinarySearch(p.msg.Strays, h.name); strayed {
 			return false
 		}
 	}
@@ -386,6 +389,9 @@
 	if !m.StoreOK && (was == nil || was.msg.StoreOK) {
 		n.refusedSince[m.From] = n.now
 	}
+	if !slices.IsSorted(m.Strays) { // from a version that tells them as they came
+		m.Strays = slices.Sorted(slices.Values(m.Strays))
+	}
 	p := &peer{at: n.now, msg: m}
 	if was != nil && was.msg.Life == m.Life {
 		if p.have = was.have; m.UpS < was.msg.UpS {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -60,6 +60,7 @@
 		n.assemble(ref, rec)
 	}
 	n.countJobChange(j, rec)
+	n.chargeJob(j, -1)
 	if j.rec != nil {
 		n.unindex(j)
 	}
@@ -80,6 +81,7 @@
 	}
 	n.notifyDependents(j)
 	n.noteErrors(j)
+	n.chargeJob(j, 1)
 	j.unplaced = 0
 	for i := range rec.Active {
 		if rec.Active[i].Host == "" {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -18,8 +18,12 @@
 	dirty bool
 	at    Time
 
-	hint    map[taskKey]*host // the machine that a grant had in mind
-	placing []placing         // what the batch under way places on machines of our own
+	hint        map[taskKey]*host // the machine that a grant had in mind
+	hintsTidyAt Time
+
+	dealtAt  []Time    // when the shares of each team's limit were last dealt
+	excessAt Time      // when teams beyond their limits are reported next
+	placing  []placing // what the batch under way places on machines of our own
 
 	cloud cloudState
 	// Machines that the cloud has confirmed gone, for the owners to hear.
@@ -57,6 +61,7 @@
 	l.hint, l.placing = map[taskKey]*host{}, nil
 	l.cloud = newCloudState()
 	l.returned, l.kept = nil, nil
+	l.dealtAt = dealTimes(len(l.dealtAt))
 	l.dirty = true
 }
 
@@ -202,17 +207,27 @@
 	l.dirty, l.placing = false, nil
 	w := newWriter(n)
 	w.conds = append(w.conds, Cond{wire.LeaderKey, l.rev})
+	n.forgetHintsNowAndThen()
 	n.shrinkRecords(w)
 	n.leadGangs(w)
 	n.revokeOrphans(w)
 	n.ownInfo()
 	left := n.plan(w)
+	n.reportExcess()
 	n.recordWithdrawals(w)
 	n.budget.pendingGrants = len(w.order) + left
 	n.log(LogDebug, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
 }
 
+// forgetHintsNowAndThen keeps the leader's memory of grants to those that matter.
+func (n *Node) forgetHintsNowAndThen() {
+	if n.now >= n.leader.hintsTidyAt {
+		n.leader.hintsTidyAt = n.now + 5*second
+		n.forgetHints()
+	}
+}
+
 // machines counts those that we know and that may still be there.
 func (n *Node) machines() int {
 	c := 0
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -88,6 +88,7 @@
 	n.settleGangs(w)
 	n.placeGranted(w, &room)
 	n.applyResults(w, &room, false)
+	n.admitWork(w, &room)
 	w.send(&n.owner, nil)
 }
 
@@ -122,6 +123,7 @@
 		return
 	}
 	n.tidyAt = n.now + 5*second
+	n.forgetSettledGrants()
 	for _, p := range n.parts {
 		for i := len(p.hosts) - 1; i >= 0; i-- {
 			h := p.hosts[i]
@@ -226,7 +228,7 @@
 		return
 	}
 	s.take(rec.Spec)
-	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: w.attempt(j, rec), Part: was.Part, Host: s.h.name, Session: s.h.session})
+	rec.Active = append(rec.Active, wire.Active{Task: was.Task, Attempt: w.attempt(j, rec), Part: was.Part, Host: s.h.name, Session: s.h.session, Admitted: was.Admitted})
 	n.log(LogDebug, "placed anew", "job", j.ref, "task", was.Task, "host", s.h.name)
 }
 
@@ -436,11 +438,27 @@
 	})
 }
 
+// forgetSettledGrants drops what is remembered of grants that have been placed or given
+// back. It is called now and then; the memory is bounded by the grants that wait. A bound
+// on their number would be one on the site: when it was reached everything was forgotten,
+// so that with more grants waiting than it no grant ever ran out of patience.
+func (n *Node) forgetSettledGrants() {
+	for k := range n.grantSeen {
+		if !n.jobs[k.job].awaitsPlacing(k) {
+			delete(n.grantSeen, k)
+		}
+	}
+}
+
+// awaitsPlacing tells whether the record holds a grant that has no machine yet.
+func (j *job) awaitsPlacing(k taskKey) bool {
+	return j.rec != nil && j.unplaced > 0 && slices.ContainsFunc(j.rec.Active, func(a wire.Active) bool {
+		return a.Task == k.task && a.Attempt == k.attempt && a.Host == ""
+	})
+}
+
 // outOfPatience tells whether a grant has waited too long for room.
 func (n *Node) outOfPatience(k taskKey) bool {
-	if len(n.grantSeen) > 4096 {
-		clear(n.grantSeen)
-	}
 	at, seen := n.grantSeen[k]
 	if !seen {
 		n.grantSeen[k] = n.now
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"micaport/internal/quota"
 	"micaport/internal/wire"
 )
 
@@ -18,9 +19,12 @@
 type plan struct {
 	n           *Node
 	w           *writer
-	up          *slotSet // machines up
-	expected    *slotSet // machines booting, hired or to be hired
-	used        []usage  // by team
+	up          *slotSet       // machines up
+	expected    *slotSet       // machines booting, hired or to be hired
+	used        []usage        // by team, with what the pass adds
+	added       []quota.Amount // by team, what the pass adds
+	atLimit     []bool         // by team: the limit alone kept something waiting
+	admission   *admission     // the pass admits within our own shares; nil: it grants as the leader
 	hires       map[pool]int
 	count       map[pool]int  // machines of each pool, up, coming or planned
 	starved     *queuedJob    // the gang that gathers room before all others
@@ -52,6 +56,7 @@
 	p.keepReserve()
 	// Backfill must not claim the writes that others need.
 	left += (p.serveQueues(backfill) - left) / backfillShare
+	p.dealShares()
 	p.logRoom(idle)
 	n.hireAndReturn(p, idle)
 	return left
@@ -61,7 +66,7 @@
 func (n *Node) newPlan(w *writer) *plan {
 	return &plan{
 		n: n, w: w, up: newSlotSet(n), expected: newSlotSet(n),
-		used: make([]usage, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{},
+		used: make([]usage, n.teams.Len()), added: make([]quota.Amount, n.teams.Len()), atLimit: make([]bool, n.teams.Len()), hires: map[pool]int{}, count: map[pool]int{},
 	}
 }
 
@@ -78,15 +83,19 @@
 	}
 }
 
-// chargeTeams counts every active task against its team, whatever the job's state.
+// chargeTeams takes what every team is charged: each active task, whatever its job's state.
 func (p *plan) chargeTeams() {
-	for _, index := range p.n.live {
-		if j := p.n.jobs[index]; j.rec.Spec != nil && j.team >= 0 {
-			p.used[j.team].add(j.rec.Spec, float64(len(j.rec.Active)))
-		}
+	for team := range p.used {
+		p.used[team].cores, p.used[team].cards = p.n.ledger.Used(team).Decimal()
 	}
 }
 
+// charge counts tasks of a job against its team for the rest of the pass.
+func (p *plan) charge(j *job, tasks int) {
+	p.used[j.team].add(j.rec.Spec, float64(tasks))
+	p.added[j.team] = p.added[j.team].Plus(j.demand(tasks))
+}
+
 // logRoom logs how much of the site is in use, for debugging.
 func (p *plan) logRoom(idle map[*slot]bool) {
 	n := p.n
@@ -139,6 +148,20 @@
 	}
 }
 
+// forgetHints drops the machines that placed grants had in mind, so that the memory is
+// bounded by the grants that wait rather than by a number.
+func (n *Node) forgetHints() {
+	for k := range n.leader.hint {
+		if j := n.jobs[k.job]; !j.awaitsPlacing(k) && n.now-j.grantedAt > hintLife {
+			delete(n.leader.hint, k)
+		}
+	}
+}
+
+// hintLife is how long the leader remembers the machine that a grant had in mind though
+// its copy does not show the grant; a commit may take a while.
+const hintLife = 20 * second
+
 // unsureFor is how long a machine that has not yet shown its owner's term may
 // be planned with. A new one shows it with its second report; what only a late
 // copy tells of, never.
@@ -198,11 +221,13 @@
 	own = own && (len(parts) == 1 || rec.Spec.Shape != wire.ShapeGang)
 	for i, t := range tasks {
 		s := slots[i]
-		a := wire.Active{Task: t, Attempt: attempt, Part: s.part}
+		a := wire.Active{Task: t, Attempt: attempt, Part: s.part, Admitted: p.admission != nil}
 		if own {
 			a.Host, a.Session = s.h.name, s.h.session
 			p.w.parts[s.part] = true
-			n.leader.placing = append(n.leader.placing, placing{s.h, rec.Spec})
+			if p.admission == nil {
+				n.leader.placing = append(n.leader.placing, placing{s.h, rec.Spec})
+			}
 		} else {
 			n.leader.hint[taskKey{j.ix, t, attempt}] = s.h
 		}
@@ -223,11 +248,9 @@
 			return false
 		}
 	}
-	p.used[j.team].add(rec.Spec, float64(len(tasks)))
+	p.charge(j, len(tasks))
+	p.restOnAccount(j, slots)
 	j.grantedAt = n.now
-	if len(n.leader.hint) > 4096+4*n.cfg.BulkTasks {
-		clear(n.leader.hint)
-	}
 	n.log(LogDebug, "granted", "job", j.ref, "attempt", attempt, "tasks", len(tasks), "part", n.parts[slots[0].part].name)
 	return true
 }
@@ -240,11 +263,20 @@
 	return s.h != nil && n.valid(n.parts[s.part]) && !n.owner.active && n.usable(s.h)
 }
 
-// quota tells whether a team may use room for k more tasks.
-func (p *plan) quota(j *job, k int) bool {
+// withinLimit tells whether a team's limit leaves the leader room for more tasks.
+func (p *plan) withinLimit(j *job, tasks int) bool {
+	return j.team >= 0 && p.n.ledger.MayGrant(j.team, p.added[j.team].Plus(j.demand(tasks)), p.n.rev)
+}
+
+// quota tells whether the limit has room for tasks that wait, and notes where it has not.
+func (p *plan) quota(j *job, tasks int) bool {
+	if p.withinLimit(j, tasks) {
+		return true
+	}
 	if j.team < 0 {
 		return false
 	}
-	sp, u, t := j.rec.Spec, p.used[j.team], &p.n.cfg.Teams[j.team]
-	return !over(u.cores+sp.Cores*float64(k), t.CoresMax) && !over(u.cards+sp.Cards*float64(k), t.CardsMax)
+	// A job that the limit has no room for at all is not worth gathering shares for.
+	p.atLimit[j.team] = p.atLimit[j.team] || p.n.ledger.Fits(j.team, j.demand(tasks))
+	return false
 }
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		used[j.team].add(j.rec.Spec, float64(j.rec.Frames-j.rec.DoneSet.Count()))
-		j.within = n.cfg.Teams[j.team].guarantees(used[j.team])
+		j.within = n.teamTerms(j.team).guarantees(used[j.team])
 		if n.isHeldBack(j) {
 			continue
 		}
@@ -79,7 +79,7 @@
 // isHeldBack tells whether a job is not to be granted anything now: it failed lately,
 // its record is being written, or its owners are about to place what was granted.
 func (n *Node) isHeldBack(j *job) bool {
-	if n.now < j.notBefore || n.owner.holds(j) {
+	if n.now < j.notBefore || n.owner.holds(j) || n.leavesToOwner(j) {
 		return true
 	}
 	placing := j.unplaced > 0 && n.now-j.changed < Time(float64(placingTime)*n.scarcity())
@@ -136,7 +136,7 @@
 
 // share is how much of its guarantee a team uses; less is served first.
 func (p *plan) share(team int) float64 {
-	u, t := p.used[team], &p.n.cfg.Teams[team]
+	u, t := p.used[team], p.n.teamTerms(team)
 	switch {
 	case t.Cards > 0:
 		return u.cards / t.Cards
@@ -247,13 +247,16 @@
 // serveTask grants the next tasks of an array or daemon, one or, of a bulk job, as many
 // as fit a machine, and tells whether to go on with the job.
 func (p *plan) serveTask(w *queuedJob) bool {
-	if !p.quota(w.j, 1) || w.runs <= 0 {
+	if w.runs <= 0 || p.admission == nil && !p.quota(w.j, 1) {
 		return false
 	}
 	if w.zones == nil {
 		p.countPlaces(w)
 	}
 	fits := p.placeRule(w)
+	if p.admission != nil {
+		return p.grantNow(w, func(s *slot) bool { return fits(s) && p.mayAdmit(w.j, 1, s.part) })
+	}
 	if p.grantNow(w, fits) {
 		return true
 	}
@@ -332,7 +335,7 @@
 		return 1
 	}
 	tasks := min(s.count(w.j.rec.Spec), len(w.tasks), maxRun)
-	for tasks > 1 && !p.quota(w.j, tasks) {
+	for tasks > 1 && !p.mayCharge(w.j, tasks, s) {
 		tasks--
 	}
 	return max(1, tasks)
@@ -356,7 +359,7 @@
 	}
 	s := p.up.best(j, fits, p.partPenalty(w))
 	if s == nil {
-		if w.anywhere() {
+		if w.anywhere() && p.admission == nil { // a share is not a place
 			p.noteUnmet(j, w.reluctant)
 		}
 		return false
@@ -367,7 +370,7 @@
 	if p.grant(j, w.tasks[:tasks], slices.Repeat([]*slot{s}, tasks)) {
 		w.parts[s.part] += tasks
 	} else {
-		p.used[j.team].add(j.rec.Spec, float64(tasks))
+		p.charge(j, tasks)
 	}
 	s.fetching(j)
 	w.took(s, tasks)
@@ -412,7 +415,7 @@
 	}
 	// Their use counts, so that no more is hired than the team may use.
 	tasks := p.runOn(w, s)
-	p.used[j.team].add(j.rec.Spec, float64(tasks))
+	p.charge(j, tasks)
 	w.took(s, tasks)
 	return true
 }
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -50,6 +50,11 @@
 			delete(n.gangs, key)
 		}
 	}
+	for i := range n.cfg.Teams {
+		if name := n.cfg.Teams[i].Name; !listed[wire.AccountKey(name)] {
+			n.putAccount(name, nil, listing.Rev)
+		}
+	}
 	if !listed[wire.LeaderKey] {
 		n.putLeader(nil, listing.Rev)
 	}
@@ -106,6 +111,8 @@
 		}
 	case *wire.Leader:
 		n.putLeader(v, e.Rev)
+	case *wire.Account:
+		n.putAccount(wire.AccountTeam(e.Key), v, e.Rev)
 	case *wire.Gang:
 		n.putGang(e.Key, v, e.Rev)
 	case *wire.Gossip:
@@ -132,6 +139,8 @@
 		}
 	case strings.HasPrefix(e.Key, wire.GangPrefix):
 		delete(n.gangs, e.Key)
+	case strings.HasPrefix(e.Key, wire.AccountPrefix):
+		n.putAccount(wire.AccountTeam(e.Key), nil, e.Rev)
 	}
 }
 
--- a/internal/core/stage.go
+++ b/internal/core/stage.go
@@ -119,7 +119,7 @@
 		return !spec.SameZone || !slices.ContainsFunc(otherZones(zones, s.zone), func(tasks int) bool { return tasks > 0 })
 	}
 	for range min(j.rec.Frames, p.n.tasksLimit(j)) {
-		if !p.quota(j, 1) {
+		if !p.withinLimit(j, 1) {
 			return
 		}
 		s := p.up.best(j, allowed, nil)
@@ -132,7 +132,7 @@
 		if s == nil {
 			return
 		}
-		p.used[j.team].add(spec, 1)
+		p.charge(j, 1)
 		zones[s.zone]++
 		s.take(spec)
 	}
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -418,15 +418,11 @@
 
 // neverRuns says why a job can never run, or "".
 func (n *Node) neverRuns(s *wire.Spec) string {
-	var team *Team
-	for i := range n.cfg.Teams {
-		if n.cfg.Teams[i].Name == s.Team {
-			team = &n.cfg.Teams[i]
-		}
-	}
-	if team == nil {
+	index := n.teams.Find(s.Team)
+	if index < 0 {
 		return "unknown team"
 	}
+	team := n.teamTerms(index)
 	fits := false
 	for i := range n.types {
 		if r := &n.types[i]; rigAllowed(s, r.Name) && fitsRig(s, r) && (s.Zone == "" || slices.Contains(r.Zones, s.Zone)) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return fmt.Errorf("cluster_listen: %w", err)
 	}
-	room := maxQueue
+	room := defaultConnections
 	if d.Limits.Sockets > 0 {
 		room = s.PublicSockets()
 		public = netutil.LimitListener(public, room)
@@ -77,8 +77,8 @@
 	n := &Node{
 		// A connection has one request under way at most, so with as many
 		// places as sockets nothing is refused for want of a place.
-		log: log, start: time.Now(), inputs: make(chan any, 1024),
-		users: make(chan asked, min(room, maxQueue)), hosts: make(chan asked, min(room, maxQueue)),
+		log: log, start: time.Now(), inputs: make(chan any, inputQueue),
+		users: make(chan asked, room), hosts: make(chan asked, room),
 		links: map[string]*peer.Link{}, waiting: map[uint64]chan core.Reply{},
 	}
 	n.core = core.New(coreConfig(s, op))
@@ -155,9 +155,16 @@
 // post gives the core an input.
 func (n *Node) post(in any) { n.inputs <- in }
 
-// maxQueue bounds the requests that wait in one queue: what is behind so many
-// is answered too late to be of use.
-const maxQueue = 8192
+const (
+	// defaultConnections is how many users and workers are taken where the settings
+	// name no limit of sockets: four times a site of 4,000 machines. Where they name
+	// one, it alone counts. Both queues have a place for each connection, 32 bytes.
+	defaultConnections = 16_384
+	// inputQueue is how many results of requests wait before their senders do. Each
+	// sender is a goroutine of its own, so none is lost and the bound limits nothing
+	// but how long a burst stays out of the core's sight.
+	inputQueue = 1024
+)
 
 // asker makes a function that gives the core a request by way of a queue and
 // waits for its reply.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -72,6 +72,11 @@
 	return c.Conn.Read(b)
 }
 
+// forwardQueue is how many forwarded calls wait while a message is on its way to the
+// peer, which may take 1.5 s. At a site of 4,000 machines users ask some 500 times a
+// second, and a controller that is refused by the state service forwards all that it gets.
+const forwardQueue = 4096
+
 // Link is the way to one peer. Messages wait in a mailbox of one, where a
 // newer message replaces an older: each says all that there is to say.
 type Link struct {
@@ -82,7 +87,7 @@
 
 // Dial starts the actor that keeps the connection.
 func Dial(addr string) *Link {
-	l := &Link{addr: addr, box: make(chan *wire.Gossip, 1), jobs: make(chan func(*rpc.Client), 64)}
+	l := &Link{addr: addr, box: make(chan *wire.Gossip, 1), jobs: make(chan func(*rpc.Client), forwardQueue)}
 	go l.run()
 	return l
 }
--- /dev/null
+++ b/internal/quota/amount.go
@@ -0,0 +1,81 @@
+// Package quota keeps every team's limit while several controllers admit work at once.
+//
+// It is an escrow: the record of a team's account holds its limit and how much of it each
+// part of the site may admit by itself. The owner of a part admits within the part's share
+// without asking anyone, the leader within what no share holds. The package has no input
+// or output: it is told of records and charges and says what may be admitted and how the
+// shares should be dealt. docs/team-limits.md weighs the ways and argues why the limit
+// can't be exceeded.
+package quota
+
+import "math"
+
+// Amount is a quantity of cores and cards. It is kept in whole billionths, so that
+// adding and removing the same charges any number of times leaves nothing behind.
+type Amount struct{ Cores, Cards int64 }
+
+// unit is one core or card.
+const unit = 1_000_000_000
+
+// tolerance is by how much the sum of rounded charges may exceed a limit: a millionth.
+const tolerance = unit / 1_000_000
+
+// maxUnits bounds a single quantity, so that sums stay far from overflow.
+const maxUnits = 1e9
+
+// Of converts decimal quantities.
+func Of(cores, cards float64) Amount { return Amount{toUnits(cores), toUnits(cards)} }
+
+func toUnits(x float64) int64 { return int64(math.Round(x * unit)) }
+
+// Decimal gives the quantities as decimal numbers.
+func (a Amount) Decimal() (cores, cards float64) {
+	return float64(a.Cores) / unit, float64(a.Cards) / unit
+}
+
+// Plus adds.
+func (a Amount) Plus(b Amount) Amount { return Amount{a.Cores + b.Cores, a.Cards + b.Cards} }
+
+// Minus subtracts.
+func (a Amount) Minus(b Amount) Amount { return Amount{a.Cores - b.Cores, a.Cards - b.Cards} }
+
+// Times multiplies by a count.
+func (a Amount) Times(count int) Amount {
+	return Amount{a.Cores * int64(count), a.Cards * int64(count)}
+}
+
+// max takes the larger of each quantity.
+func (a Amount) max(b Amount) Amount { return Amount{max(a.Cores, b.Cores), max(a.Cards, b.Cards)} }
+
+// min takes the smaller of each quantity.
+func (a Amount) min(b Amount) Amount { return Amount{min(a.Cores, b.Cores), min(a.Cards, b.Cards)} }
+
+// within tells whether the amount keeps to a limit, in which 0 means no limit.
+func (a Amount) within(limit Amount) bool {
+	return (limit.Cores == 0 || a.Cores <= limit.Cores+tolerance) &&
+		(limit.Cards == 0 || a.Cards <= limit.Cards+tolerance)
+}
+
+// covers tells whether the amount is at least as large as another, up to rounding.
+func (a Amount) covers(b Amount) bool {
+	return b.Cores <= a.Cores+tolerance && b.Cards <= a.Cards+tolerance
+}
+
+// whole rounds down to whole cores and cards: a fraction of one admits hardly any task.
+func (a Amount) whole() Amount { return Amount{a.Cores / unit * unit, a.Cards / unit * unit} }
+
+// dividedBy gives an equal part of the amount.
+func (a Amount) dividedBy(parts int) Amount {
+	return Amount{a.Cores / int64(parts), a.Cards / int64(parts)}
+}
+
+// relevant drops the quantities that the limit does not limit.
+func (a Amount) relevant(limit Amount) Amount {
+	if limit.Cores == 0 {
+		a.Cores = 0
+	}
+	if limit.Cards == 0 {
+		a.Cards = 0
+	}
+	return a
+}
--- a/internal/wire/active.go
+++ b/internal/wire/active.go
@@ -16,6 +16,9 @@
 	Host    string
 	Session uint64
 	Stop    int
+	// Admitted says that the owner of the part has admitted the task within the part's
+	// share of the team's limit; otherwise the leader has granted it. Format 4.
+	Admitted bool
 	// StoredIn says which key holds it: 1 the job's own record, 2 the first of the
 	// further ones and so on, 0 none yet. It is not written.
 	StoredIn int
@@ -35,13 +38,25 @@
 }
 
 // list is what the tasks of a list have in common.
-func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop, a.StoredIn} }
+func (a *Active) list() runList { return runList{a.Part, a.Session, a.Stop, a.Admitted, a.StoredIn} }
 
 type runList struct {
-	part    int
-	session uint64
-	stop    int
-	in      int
+	part     int
+	session  uint64
+	stop     int
+	admitted bool
+	in       int
+}
+
+// admittedFlag is added to the mark of a list of admitted tasks.
+const admittedFlag = 4
+
+// mark is how a list's stop mark and the flag of admitted tasks are written.
+func (k runList) mark() int {
+	if k.admitted {
+		return k.stop | admittedFlag
+	}
+	return k.stop
 }
 
 // Run gives the bounds of the run that an entry belongs to.
@@ -104,7 +119,7 @@
 		if err := e.EncodeArrayLen(4); err != nil {
 			return fmt.Errorf("active tasks: %w", err)
 		}
-		if err := e.EncodeMulti(k.part, k.session, k.stop); err != nil {
+		if err := e.EncodeMulti(k.part, k.session, k.mark()); err != nil {
 			return fmt.Errorf("active tasks: %w", err)
 		}
 		if err := e.EncodeArrayLen(len(runs[k])); err != nil {
@@ -138,6 +153,7 @@
 	if err := d.DecodeMulti(&a.Part, &a.Session, &a.Stop); err != nil {
 		return err
 	}
+	a.Admitted, a.Stop = a.Stop&admittedFlag != 0, a.Stop&^admittedFlag
 	fields, err := d.DecodeArrayLen()
 	for at := 0; at < fields && err == nil; at += 4 {
 		count := 0
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -24,8 +24,10 @@
 	FormatPrefix       = "m/f/"
 	// Since format 3:
 	NeedsPrefix = "m/n/"
-	LeaderKey   = "m/leader"
-	TypesKey    = "m/types"
+	// Since format 4:
+	AccountPrefix = "m/q/"
+	LeaderKey     = "m/leader"
+	TypesKey      = "m/types"
 )
 
 // Formats of the records. What a format adds is written only once every controller
@@ -33,7 +35,8 @@
 const (
 	FormatChains    = 2 // jobs that wait on others; further keys for active tasks
 	FormatLongNeeds = 3 // further keys for the jobs that a job waits on
-	Format          = FormatLongNeeds
+	FormatAccounts  = 4 // accounts of teams, and tasks that owners have admitted
+	Format          = FormatAccounts
 )
 
 // Final and live states of a job record.
@@ -243,6 +246,8 @@
 		v = new(SupportedFormat)
 	case strings.HasPrefix(key, NeedsPrefix):
 		v = new(Needs)
+	case strings.HasPrefix(key, AccountPrefix):
+		return decodeAccount(raw), nil
 	case key == LeaderKey:
 		v = new(Leader)
 	case key == TypesKey:
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -427,7 +427,7 @@
 		need = sp.Frames
 	}
 	cores, cards := w.teamUse(sp.Team)
-	if w.overLimit(sp.Team, cores+float64(need)*sp.Cores, cards+float64(need)*sp.Cards) {
+	if beyond(w.accounting.teams[sp.Team].limit, cores+float64(need)*sp.Cores, cards+float64(need)*sp.Cards) {
 		return false
 	}
 	zones := map[string]int{}
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -75,6 +75,7 @@
 		"next_txn_ops":     whole(&s.NextTxnOps),
 		"next_value_bytes": whole(&s.NextValueBytes),
 		"old_format":       whole(&s.OldFormat),
+		"admission":        whole((*int)(&s.Admission)),
 	}
 }
 
@@ -256,6 +257,12 @@
 		}
 	case "fan-in": // REF waits on COUNT small jobs, which come first; with attributes
 		return w.fanIn(args[0], int(num(1)), args[2:])
+	case "limit": // TEAM cards=N, cores=N: an operator changes a team's limit
+		return w.changeLimit(args[0], args[1:])
+	case "damage": // TEAM: the record of its account can't be read any more
+		w.store.overwrite(wire.AccountKey(args[0]), []byte{0xc1})
+	case "switch": // what owners admit by themselves, for controllers that start from here on
+		w.Admission = core.Admission(num(0))
 	case "meter": // count from here on
 		w.meter = meter{since: w.now, work: w.work()}
 	case "expect":
@@ -506,6 +513,7 @@
 
 // expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, deaf=0,
 // owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
+// admitted<=N and >=N tasks that owners have admitted, shares<=N that are dealt,
 // refused<=N commits, looks_per_report<=N at machines by all controllers, and
 // bytes_per_s<=N between controllers; more_keys<=N and >=N further keys of records;
 // late_starts<=N counts starts that workers
@@ -521,6 +529,8 @@
 			"bytes_per_s":      w.meter.bytes / seconds,
 			"late_starts":      w.lateStarts,
 			"more_keys":        w.store.moreKeys(),
+			"admitted":         w.accounting.admissions,
+			"shares":           w.accounting.openShares(),
 		}
 		n, known := count[k]
 		if !known {
@@ -530,6 +540,9 @@
 	} else if v, ok := strings.CutPrefix(what, "more_keys>="); ok {
 		limit, _ := strconv.Atoi(v)
 		holds, got = w.store.moreKeys() >= limit, w.store.moreKeys()
+	} else if v, ok := strings.CutPrefix(what, "admitted>="); ok {
+		limit, _ := strconv.Atoi(v)
+		holds, got = w.accounting.admissions >= limit, w.accounting.admissions
 	} else if v, ok := strings.CutPrefix(what, "machines>="); ok {
 		limit, _ := strconv.Atoi(v)
 		holds, got = len(w.up()) >= limit, len(w.up())
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -38,7 +38,8 @@
 	NextWriteRPS   float64
 	NextTxnOps     int
 	NextValueBytes int
-	OldFormat      int // that controllers read at first, until they are replaced; 0: the newest
+	Admission      core.Admission // what owners admit by themselves
+	OldFormat      int            // that controllers read at first, until they are replaced; 0: the newest
 }
 
 // Defaults are those of a small deployment.
@@ -47,6 +48,7 @@
 		Seed: 1, Nodes: []string{"a", "b", "a"}, Zones: []string{"a", "b"},
 		Teams: []core.Team{
 			{Name: "red", Cards: 4, CardsMax: 8}, {Name: "blue", Cards: 4, CardsMax: 8}, {Name: "wide", CardsMax: 1000}, {Name: "huge", CardsMax: 10000},
+			{Name: "vast", CardsMax: 20000}, {Name: "pool", Cards: 24, CardsMax: 32},
 		},
 		Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 35 * time.Second,
 		GangPeer: 8 * time.Second, Cancel: 55 * time.Second,
@@ -77,6 +79,7 @@
 	calm   time.Duration  // when the last trouble ends, as far as is known
 
 	troubles
+	accounting *accounting
 
 	copiesTo, copyDelay time.Duration   // until when reports come twice, and how late
 	held                map[string]bool // cuts that deliver what they held
@@ -147,6 +150,7 @@
 		trace: trace,
 	}
 	w.store = newStore(w)
+	w.accounting = newAccounting(w)
 	w.cloud = newCloud(w)
 	for i, z := range s.Nodes {
 		n := &node{w: w, ix: i, label: fmt.Sprintf("n%d", i), zone: z, drift: 1 + 0.0005*float64(i)/float64(len(s.Nodes))}
@@ -276,6 +280,7 @@
 		}
 		return now
 	}
+	cfg.Admission = w.Admission
 	if n.old {
 		cfg.Format = w.OldFormat
 	}
