The stand-in world checks that every charge rests on its team's account

Need: the scenarios passed when owners' commits did not rest on the account's revision. Now each commit that charges more to a team without a condition on its account breaks a rule; without the condition limits-changed and shares-contended fail.

--- a/internal/world/accounting.go
+++ b/internal/world/accounting.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"micaport/internal/core"
 	"micaport/internal/quota"
 	"micaport/internal/wire"
 )
@@ -53,8 +55,9 @@
 	return a
 }
 
-// committed takes in a transaction and checks what it leads to.
-func (a *accounting) committed(puts []put) {
+// committed takes in a transaction and checks what it leads to, and that what it charges
+// rests on the accounts of its teams.
+func (a *accounting) committed(conds []core.Cond, puts []put) {
 	before := map[string]wire.Resources{}
 	for name, t := range a.teams {
 		before[name] = t.total()
@@ -72,7 +75,9 @@
 		}
 	}
 	for ref := range changed {
+		was := a.jobs[ref]
 		a.job(ref)
+		a.checkFence(conds, ref, was)
 	}
 	for name, t := range a.teams {
 		now, was := t.total(), before[name]
@@ -82,6 +87,20 @@
 	}
 }
 
+// checkFence checks that a commit which charges more to a team, or to its shares, was
+// conditional on the team's account, if there is one: without that it could come after
+// the limit was lowered, or the share withdrawn.
+func (a *accounting) checkFence(conds []core.Cond, ref string, was jobCharge) {
+	now := a.jobs[ref]
+	if now.byLeader <= was.byLeader && now.countAdmitted() <= was.countAdmitted() {
+		return
+	}
+	key := wire.AccountKey(now.team)
+	if e := a.w.store.keys[key]; e != nil && !slices.ContainsFunc(conds, func(c core.Cond) bool { return c.Key == key }) {
+		a.w.broke("unfenced", "%s is charged to %s without a condition on its account", ref, now.team)
+	}
+}
+
 // exceeds tells whether a commit has brought a charge beyond its limit. One that was
 // beyond it already, since the limit has been lowered, may only fall.
 func exceeds(now, limit, was float64) bool {
@@ -248,6 +267,6 @@
 	s.rev++
 	p := put{key: key, raw: raw}
 	s.apply(p, s.rev)
-	s.w.accounting.committed([]put{p})
+	s.w.accounting.committed(nil, []put{p})
 	s.notify()
 }
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -131,7 +131,7 @@
 	for _, p := range puts {
 		s.apply(p, s.rev)
 	}
-	s.w.accounting.committed(puts)
+	s.w.accounting.committed(conds, puts)
 	s.notify()
 	return core.OK, s.rev, nil
 }
