--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -99,9 +99,14 @@
 		if err := quota.Validate(kept, parts); err != nil {
 			account.Fault = err.Error()
 		}
-		if kept.Unreadable {
+		switch {
+		case kept.Unreadable:
 			record.Unreadable = true // a change is based on the settings then
-		} else {
+		case account.Fault != "":
+			withoutShares := *kept
+			withoutShares.Shares = nil
+			record = &withoutShares
+		default:
 			record = kept
 		}
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -129,6 +129,14 @@
 	if accounts, _ = Read(s, site); accounts[0].Fault != "" || accounts[0].Limit.Cards != 8 || accounts[0].Guarantee.Cards != 4 {
 		t.Errorf("%+v", accounts[0])
 	}
+	// A share of a part that does not exist goes with the next change.
+	s.put(wire.AccountKey("red"), &wire.Account{Version: 5, Limit: wire.Resources{Cards: 8}, Shares: []wire.Share{{Part: 7, Cards: 1}}})
+	if err := Apply(s, site, []quota.Change{{Team: "red", Version: 5, CardsLimit: number(9)}}, false); err != nil {
+		t.Fatal(err)
+	}
+	if accounts, _ = Read(s, site); accounts[0].Fault != "" || accounts[0].Limit.Cards != 9 || len(accounts[0].Shares) != 0 {
+		t.Errorf("%+v", accounts[0])
+	}
 }
 
 func TestUseIsShownByPart(t *testing.T) {
