--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -151,64 +151,74 @@
 	switch g.rec.State {
 	case wire.GangTrying:
 		if g.held == nil {
-			chosen := n.chooseAll(j, mine, slots)
-			if chosen == nil {
-				if !g.denied {
-					g.denied = true
-					n.gossip(true)
-				}
-				break
-			}
-			g.held = map[int]*host{}
-			g.denied = false
-			for i, s := range chosen {
-				s.take(j.rec.Spec)
-				g.held[mine[i].Task] = s.h
-			}
-			n.gossip(true)
+			n.tryHold(j, g, mine, slots)
 		}
 	case wire.GangConfirmed:
-		k := taskKey{j.ix, mine[0].Task, g.rec.Attempt}
-		hosts := make([]*host, len(mine))
-		ok := true
-		for i, a := range mine {
-			h := g.held[a.Task]
-			if h == nil || !n.usable(h) {
-				ok = false
-				break
-			}
-			hosts[i] = h
-		}
-		if !ok {
-			// The hold went with its machine or its owner; find room anew.
-			g.held = nil
-			if chosen := n.chooseAll(j, mine, slots); chosen != nil {
-				ok = true
-				for i, s := range chosen {
-					s.take(j.rec.Spec)
-					hosts[i] = s.h
-				}
-			}
-		}
-		if !ok && !n.outOfPatience(k) {
-			return
-		}
-		rec := w.job(j)
-		if rec == nil {
-			return
-		}
-		for _, a := range mine {
-			w.parts[a.Part] = true
+		n.placeConfirmed(w, j, g, mine, slots)
+	}
+}
+
+// tryHold holds room for our share of a gang, or denies it.
+func (n *Node) tryHold(j *job, g *gang, mine []wire.Active, slots *slotSet) {
+	chosen := n.chooseAll(j, mine, slots)
+	if chosen == nil {
+		if !g.denied {
+			g.denied = true
+			n.gossip(true)
 		}
-		if !ok {
-			n.giveBack(w, rec)
-			failGang(rec, g.rec.Attempt)
-			return
+		return
+	}
+	g.held = map[int]*host{}
+	g.denied = false
+	for i, s := range chosen {
+		s.take(j.rec.Spec)
+		g.held[mine[i].Task] = s.h
+	}
+	n.gossip(true)
+}
+
+// placeConfirmed places our share of a confirmed gang on the machines that were held for
+// it, or on others where a hold went with its machine or its owner.
+func (n *Node) placeConfirmed(w *writer, j *job, g *gang, mine []wire.Active, slots *slotSet) {
+	hosts := n.heldHosts(g, mine)
+	if hosts == nil {
+		g.held = nil
+		for _, s := range n.chooseAll(j, mine, slots) {
+			s.take(j.rec.Spec)
+			hosts = append(hosts, s.h)
 		}
-		for i := range mine {
-			setHost(rec, &mine[i], hosts[i])
+	}
+	if hosts == nil && !n.outOfPatience(taskKey{j.ix, mine[0].Task, g.rec.Attempt}) {
+		return
+	}
+	rec := w.job(j)
+	if rec == nil {
+		return
+	}
+	for _, a := range mine {
+		w.parts[a.Part] = true
+	}
+	if hosts == nil {
+		n.giveBack(w, rec)
+		failGang(rec, g.rec.Attempt)
+		return
+	}
+	for i := range mine {
+		setHost(rec, &mine[i], hosts[i])
+	}
+}
+
+// heldHosts gives the machines held for the tasks of a gang, or nil unless all are usable.
+func (n *Node) heldHosts(g *gang, mine []wire.Active) []*host {
+	hosts := make([]*host, len(mine))
+	for i, a := range mine {
+		h := g.held[a.Task]
+		if h == nil || !n.usable(h) {
+			return nil
 		}
+		hosts[i] = h
 	}
+	return hosts
 }
 
 // settleGangs lets a pending hold cancel itself: at its deadline the owner
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -1,8 +1,9 @@
 package core
 
 import (
+	"cmp"
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"micaport/internal/wire"
@@ -151,19 +152,7 @@
 
 // applyResults writes what became of tasks, either what presses or the rest.
 func (n *Node) applyResults(w *writer, room *ownRoom, pressing bool) {
-	keys := make([]taskKey, 0, len(n.results))
-	for k := range n.results {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(a, b int) bool {
-		if keys[a].job != keys[b].job {
-			return keys[a].job < keys[b].job
-		}
-		if keys[a].task != keys[b].task {
-			return keys[a].task < keys[b].task
-		}
-		return keys[a].attempt < keys[b].attempt
-	})
+	keys := n.sortedResults()
 	oldest := map[int]Time{}
 	for _, k := range keys {
 		if at, seen := oldest[k.job]; !seen || n.results[k].at < at {
@@ -176,22 +165,12 @@
 		if w.ended[k] || n.pressing(k, res) != pressing && w.recs[k.job] == nil || n.leader.batch.holds(n.jobs[k.job]) {
 			continue
 		}
-		// A machine that has lost its session is the best place for the same
-		// task, as it has the image, once it has shown that it knows our term.
-		if h := n.hostOf(res.host); res.cause == causeLost && h.part >= 0 && n.now-res.at < sessionPause && h.term == n.parts[h.part].rev &&
-			!h.token && n.now-h.heard < sessionPause {
-			continue
-		}
-		if n.now-oldest[k.job] < n.resultDelay(n.jobs[k.job]) {
+		if n.awaitsNewSession(res) || n.now-oldest[k.job] < n.resultDelay(n.jobs[k.job]) {
 			continue
 		}
 		a := n.active(k, res.host)
-		if a == nil {
-			delete(n.results, k) // written
-			continue
-		}
-		if !n.valid(n.parts[a.Part]) || n.parts[a.Part].rev != res.term {
-			delete(n.results, k)
+		if a == nil || !n.valid(n.parts[a.Part]) || n.parts[a.Part].rev != res.term {
+			delete(n.results, k) // written, or found out in a term that is over
 			continue
 		}
 		if !slack.mayEnd(k, res.host) {
@@ -213,6 +192,22 @@
 	}
 }
 
+// sortedResults lists the tasks of which we know what became of them, in a fixed order.
+func (n *Node) sortedResults() []taskKey {
+	return slices.SortedFunc(maps.Keys(n.results), func(a, b taskKey) int {
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.attempt, b.attempt))
+	})
+}
+
+// awaitsNewSession tells whether a lost task should wait a moment for its machine: one
+// that has lost its session is the best place for the same task, as it has the image,
+// once it has shown that it knows our term.
+func (n *Node) awaitsNewSession(res result) bool {
+	h := n.hostOf(res.host)
+	return res.cause == causeLost && h.part >= 0 && n.now-res.at < sessionPause && h.term == n.parts[h.part].rev &&
+		!h.token && n.now-h.heard < sessionPause
+}
+
 // placeAnew gives a task that its machine has lost another machine of the same
 // part: the grant stands, only the choice of the machine is the owner's. It
 // saves two puts, and when a whole zone has lost its tasks that is most of the
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -6,79 +6,109 @@
 	"micaport/internal/wire"
 )
 
-// How many slots that fit are compared, and how many are looked at in one
-// class: those of a class differ little.
+// How many slots with the image that fit are compared, and how many are compared and
+// looked at in one class: those of a class differ little.
 const (
 	compareFits = 12
+	fitsInClass = 3
 	lookAtMost  = 96
 )
 
+// search is a search for the best machine for a task.
+type search struct {
+	x     *slotSet
+	job   *job
+	ok    func(*slot) bool    // of a class of machines; nil: any
+	extra func(*slot) float64 // added to the score; nil: nothing
+	found *slot
+	score float64
+}
+
 // best chooses the machine for a task, or nil. What ok says of a slot must
 // hold for its whole class, and so must what extra adds to its score.
 func (x *slotSet) best(j *job, ok func(*slot) bool, extra func(*slot) float64) *slot {
-	n, sp := x.n, j.rec.Spec
-	var found *slot
-	var foundScore float64
-	try := func(s *slot) {
-		v := n.score(j, s)
-		if extra != nil {
-			v += extra(s)
-		}
-		if found == nil || v < foundScore {
-			found, foundScore = s, v
+	s := &search{x: x, job: j, ok: ok, extra: extra}
+	s.withImage()
+	for _, c := range x.order {
+		if s.mayFit(c) {
+			s.inClass(c)
 		}
 	}
-	fits := 0
-	key := imageList{j.image, sp.Cards <= 0}
-	list := x.withImage(key)
+	return s.found
+}
+
+// compare keeps a machine if it is better than what was found so far.
+func (s *search) compare(candidate *slot) {
+	score := s.x.n.score(s.job, candidate)
+	if s.extra != nil {
+		score += s.extra(candidate)
+	}
+	if s.found == nil || score < s.score {
+		s.found, s.score = candidate, score
+	}
+}
+
+// withImage compares machines that have the job's image.
+func (s *search) withImage() {
+	spec := s.job.rec.Spec
+	key := imageList{s.job.image, spec.Cards <= 0}
+	list := s.x.withImage(key)
 	kept := list[:0]
-	for i, s := range list {
-		n.work++
+	fits := 0
+	for i, candidate := range list {
+		s.x.n.work++
 		if fits >= compareFits {
 			kept = append(kept, list[i:]...)
 			break
 		}
-		if s.full(key.cardless) {
+		if candidate.full(key.cardless) {
 			continue
 		}
-		kept = append(kept, s)
-		if s.fits(sp) && s.suits(j) && (ok == nil || ok(s)) {
+		kept = append(kept, candidate)
+		if candidate.fits(spec) && candidate.suits(s.job) && (s.ok == nil || s.ok(candidate)) {
 			fits++
-			try(s)
+			s.compare(candidate)
 		}
 	}
-	x.byImage[key] = kept
-	for _, c := range x.order {
-		if c.none && !key.cardless && n.flavors[c.rig].Cards > 0 || float64(c.cards)+1 < sp.Cards || !j.allows(c.rig, c.zone, c.spot) {
+	s.x.byImage[key] = kept
+}
+
+// mayFit tells whether machines of a class can have room for the task.
+func (s *search) mayFit(c class) bool {
+	cards := s.job.rec.Spec.Cards
+	if c.none && cards > 0 && s.x.n.flavors[c.rig].Cards > 0 {
+		return false
+	}
+	return float64(c.cards)+1 >= cards && s.job.allows(c.rig, c.zone, c.spot)
+}
+
+// inClass compares a few machines of a class.
+func (s *search) inClass(c class) {
+	spec, list := s.job.rec.Spec, s.x.open[c]
+	fits, looked := 0, 0
+	for i := 0; i < len(*list); {
+		candidate := (*list)[i]
+		s.x.n.work++
+		if candidate.class != c || candidate.full(true) { // moved on
+			candidate.listed = slices.DeleteFunc(candidate.listed, func(y class) bool { return y == c })
+			last := len(*list) - 1
+			(*list)[i] = (*list)[last]
+			*list = (*list)[:last]
 			continue
 		}
-		l := x.open[c]
-		fits, looked := 0, 0
-		for i := 0; i < len(*l); {
-			s := (*l)[i]
-			n.work++
-			if s.class != c || s.full(true) { // moved on
-				s.listed = slices.DeleteFunc(s.listed, func(y class) bool { return y == c })
-				last := len(*l) - 1
-				(*l)[i] = (*l)[last]
-				*l = (*l)[:last]
-				continue
-			}
-			i++
-			if looked++; looked > lookAtMost || fits >= 3 {
-				break
-			}
-			if !s.fits(sp) || !s.suits(j) {
-				continue
-			}
-			if ok != nil && !ok(s) {
-				break
-			}
-			fits++
-			try(s)
+		i++
+		if looked++; looked > lookAtMost || fits >= fitsInClass {
+			return
+		}
+		if !candidate.fits(spec) || !candidate.suits(s.job) {
+			continue
+		}
+		if s.ok != nil && !s.ok(candidate) {
+			return
 		}
+		fits++
+		s.compare(candidate)
 	}
-	return found
 }
 
 // fetchS is how long the image of a job would take to reach the machine.
--- a/internal/wire/active.go
+++ b/internal/wire/active.go
@@ -32,9 +32,9 @@
 //	[[part, session, stop, [task, attempt, host, count, ...]], ...]
 type Actives []Active
 
-// follows tells whether b continues the run that a ends.
-func (b *Active) follows(a *Active) bool {
-	return b.Task == a.Task+1 && b.Attempt == a.Attempt && b.Host == a.Host && b.list() == a.list()
+// follows tells whether the entry continues the run that another one ends.
+func (a *Active) follows(before *Active) bool {
+	return a.Task == before.Task+1 && a.Attempt == before.Attempt && a.Host == before.Host && a.list() == before.list()
 }
 
 // list is what the tasks of a list have in common.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -438,73 +438,25 @@
 	}
 }
 
+// perform carries out an effect of the core.
 func (n *node) perform(e any) {
 	w := n.w
 	switch x := e.(type) {
 	case core.Commit:
-		puts := encodeWrites(x.Writes)
-		n.call(w.writeFate(len(puts)), func() any {
-			refused := w.meter.refused
-			out, rev, failed := w.store.commit(n, x.If, puts)
-			return core.Committed{ID: x.ID, Outcome: out, Rev: rev, Failed: failed, Limited: w.meter.refused > refused}
-		}, core.Committed{ID: x.ID, Outcome: core.Unknown}, func() any {
-			if w.store.refuses(n) {
-				return core.Committed{ID: x.ID, Outcome: core.Refused}
-			}
-			return nil
-		})
+		n.commit(x)
 	case core.Read:
-		n.call(w.storeFate, func() any {
-			r := core.GotJob{ID: x.ID, Outcome: core.Missing}
-			if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
-				r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
-				must(wire.Decode(k.raw, r.Job))
-			}
-			return r
-		}, core.GotJob{ID: x.ID, Outcome: core.Unknown}, func() any {
-			if w.store.refuses(n) {
-				return core.GotJob{ID: x.ID, Outcome: core.Refused}
-			}
-			return nil
-		})
+		n.read(x)
 	case core.Lease:
 		n.call(w.storeFate, func() any {
 			out, id := w.store.lease(x.Lease, x.TTL)
 			return core.Leased{ID: x.ID, Outcome: out, Lease: id}
-		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, func() any {
-			if w.store.refuses(n) {
-				return core.Leased{ID: x.ID, Outcome: core.Refused}
-			}
-			return nil
-		})
+		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.Leased{ID: x.ID, Outcome: core.Refused}))
 	case core.Cloud:
-		if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
-			w.broke("stale_leader", "%s deals with the cloud", n.label)
-		}
-		n.call(w.fate, func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
-			if w.cut(n.label, n.zone, "cloud", "") {
-				return core.Clouded{ID: x.ID, Outcome: core.Unknown}
-			}
-			if w.cloud.outage {
-				return core.Clouded{ID: x.ID, Outcome: core.Refused}
-			}
-			return nil
-		})
+		n.callCloud(x)
 	case core.Direct:
 		n.order(x)
 	case core.Send:
-		for _, m := range w.nodes {
-			if m.label == x.To && !w.cut(n.label, n.zone, m.label, m.zone) {
-				if w.now < w.lossTo && w.rng.Float64() < w.loss {
-					continue
-				}
-				msg := *x.Msg
-				if raw, err := wire.Encode(x.Msg); err == nil {
-					w.meter.bytes += len(raw)
-				}
-				m.deliver(w.latency(), core.Gossiped{Msg: &msg})
-			}
-		}
+		n.send(x)
 	case core.Forward:
 		n.forward(x)
 	case core.Log:
@@ -517,6 +469,75 @@
 	}
 }
 
+// unlessRefused gives the answer to a request that the state service refuses at once.
+func (n *node) unlessRefused(refusal any) func() any {
+	return func() any {
+		if n.w.store.refuses(n) {
+			return refusal
+		}
+		return nil
+	}
+}
+
+// commit sends a transaction to the state service.
+func (n *node) commit(x core.Commit) {
+	w := n.w
+	puts := encodeWrites(x.Writes)
+	n.call(w.writeFate(len(puts)), func() any {
+		refused := w.meter.refused
+		out, rev, failed := w.store.commit(n, x.If, puts)
+		return core.Committed{ID: x.ID, Outcome: out, Rev: rev, Failed: failed, Limited: w.meter.refused > refused}
+	}, core.Committed{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.Committed{ID: x.ID, Outcome: core.Refused}))
+}
+
+// read fetches the record of a job.
+func (n *node) read(x core.Read) {
+	w := n.w
+	n.call(w.storeFate, func() any {
+		r := core.GotJob{ID: x.ID, Outcome: core.Missing}
+		if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
+			r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
+			must(wire.Decode(k.raw, r.Job))
+		}
+		return r
+	}, core.GotJob{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.GotJob{ID: x.ID, Outcome: core.Refused}))
+}
+
+// callCloud sends a call to the cloud.
+func (n *node) callCloud(x core.Cloud) {
+	w := n.w
+	if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
+		w.broke("stale_leader", "%s deals with the cloud", n.label)
+	}
+	n.call(w.fate, func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
+		if w.cut(n.label, n.zone, "cloud", "") {
+			return core.Clouded{ID: x.ID, Outcome: core.Unknown}
+		}
+		if w.cloud.outage {
+			return core.Clouded{ID: x.ID, Outcome: core.Refused}
+		}
+		return nil
+	})
+}
+
+// send carries a message to a peer.
+func (n *node) send(x core.Send) {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.label != x.To || w.cut(n.label, n.zone, m.label, m.zone) {
+			continue
+		}
+		if w.now < w.lossTo && w.rng.Float64() < w.loss {
+			continue
+		}
+		msg := *x.Msg
+		if raw, err := wire.Encode(x.Msg); err == nil {
+			w.meter.bytes += len(raw)
+		}
+		m.deliver(w.latency(), core.Gossiped{Msg: &msg})
+	}
+}
+
 // order carries orders to a worker's own address. What is held back or comes
 // late may be obeyed long after the sender has given up, and twice.
 func (n *node) order(x core.Direct) {
