--- a/internal/world/loopback_test.go
+++ b/internal/world/loopback_test.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	loopbackFor     = flag.Duration("loopback.for", 25*time.Second, "how long the controllers on loopback are hammered")
+	loopbackFor     = flag.Duration("loopback.for", 40*time.Second, "how long the controllers on loopback are hammered")
 	loopbackWorkers = flag.Int("loopback.workers", 40, "how many workers they have")
 )
 
@@ -34,12 +34,16 @@
 	s.Report, s.Lease, s.Cancel = time.Second, 12*time.Second, 24*time.Second
 	s.Boot, s.Idle = 300*time.Millisecond, time.Minute
 	s.Capacity, s.WriteRPS = workers/4, 400
-	limit := float64(workers) // half of the cards there are
+	limit := float64(workers) / 2 // a quarter of the cards that there are
 	s.Teams[0].Cards, s.Teams[0].CardsMax = limit/2, limit
 	s.Teams[1].Cards, s.Teams[1].CardsMax = limit/4, limit/2
 	return s
 }
 
+// hammeredFrames bounds the tasks of a team's jobs: red stays below its limit at times,
+// so that it has shares, blue does not.
+var hammeredFrames = map[string]int{"red": 3, "blue": 8, "wide": 8}
+
 // Real controllers on loopback are killed, stopped and cut from each other and from the
 // state service while work beyond the teams' limits comes. No revision of the records
 // charges a team more than its limit, and no rule is broken.
@@ -61,7 +65,10 @@
 			return
 		}
 		team := []string{"red", "blue", "wide"}[count%3]
-		args := []string{fmt.Sprintf("wk-%06d", count), "team=" + team, "gb=0", fmt.Sprintf("frames=%d", 1+rng.IntN(4)), fmt.Sprintf("run=%d", 1+rng.IntN(3))}
+		// Longer tasks, not more jobs, keep more workers busy: each job's user goes on asking.
+		run := float64(1+rng.IntN(3)) * float64(*loopbackWorkers) / 40
+		args := []string{fmt.Sprintf("wk-%06d", count), "team=" + team, "gb=0", fmt.Sprintf("frames=%d", 1+rng.IntN(hammeredFrames[team])),
+			fmt.Sprintf("run=%.1f", run), fmt.Sprintf("cards=%d", 1+count%2)}
 		if count%7 == 0 {
 			args = append(args, "shape=gang", "one_zone")
 		}
@@ -74,7 +81,11 @@
 		}
 		ix, leader := rng.IntN(len(l.nodes)), l.controller("leader")
 		d := time.Duration(200+rng.IntN(4000)) * time.Millisecond
-		switch rng.IntN(6) {
+		trouble := rng.IntN(6)
+		if l.now < 8*time.Second {
+			trouble = 0
+		}
+		switch trouble {
 		case 0:
 			l.Kill(leader, d)
 		case 1:
@@ -89,6 +100,8 @@
 			l.Isolate(ix, false, linkRefuses, linkRefuses, d)
 		}
 	})
+	most := 0
+	l.every(time.Second, func() { most = max(most, len(l.up())) })
 	l.Play(*loopbackFor)
 	for _, fault := range l.Broken {
 		t.Error(fault)
@@ -99,7 +112,10 @@
 			done++
 		}
 	}
-	t.Logf("%d workers, %d jobs, %d done, %d tasks admitted by owners, %d revisions, %d claims of leadership", len(l.up()), len(l.order), done, l.accounting.admissions, l.store.rev, l.store.leaders)
+	t.Logf("%d workers at most, %d jobs, %d done, %d tasks admitted by owners, %d revisions, %d claims of leadership", most, len(l.order), done, l.accounting.admissions, l.store.rev, l.store.leaders)
+	if l.accounting.admissions == 0 || l.store.leaders < 2 {
+		t.Error("no owner admitted anything, or no leader was replaced: nothing was tried")
+	}
 	if len(l.order) < 20 || done < len(l.order)/2 {
 		t.Errorf("%d of %d jobs are done", done, len(l.order))
 	}
--- a/internal/world/users.go
+++ b/internal/world/users.go
@@ -180,4 +180,3 @@
 		}
 	})
 }
-
