Inputs, effects and records are sealed interfaces; reports, answers and gossip by role

Need: inputs, effects and stored records were 'any', so a wrong one was found when it ran, and report.go and gossip.go held several jobs each. Names that needed explaining are replaced (told, strayed, kept).

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -19,7 +19,7 @@
 const MaxBody = 64 << 10
 
 // Ask hands a request to the core and waits for its reply.
-type Ask func(make func(req uint64) any) (core.Reply, bool)
+type Ask func(request func(req uint64) core.Input) (core.Reply, bool)
 
 // Routes adds the users' routes.
 func Routes(r *httprouter.Router, ask Ask, ready func() bool) {
@@ -66,7 +66,7 @@
 }
 
 func serve(w http.ResponseWriter, ask Ask, u core.UserRequest) {
-	rep, ok := ask(func(req uint64) any { u.Req = req; return u })
+	rep, ok := ask(func(req uint64) core.Input { u.Req = req; return u })
 	if !ok {
 		rep = core.Reply{Status: 503, Body: wire.Error{Error: "overloaded"}, RetryS: 1}
 	}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	var asked []core.UserRequest
 	r := httprouter.New()
-	Routes(r, func(input func(uint64) any) (core.Reply, bool) {
+	Routes(r, func(input func(uint64) core.Input) (core.Reply, bool) {
 		asked = append(asked, input(1).(core.UserRequest))
 		return reply, served
 	}, func() bool { return true })
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -23,13 +23,13 @@
 	base  string
 	http  *http.Client
 	limit *rate.Limiter
-	post  func(any)
+	post  func(core.Input)
 
 	pressing atomic.Int32 // hires and returns on their way or waiting
 }
 
 // New makes a client that keeps below the cloud's request rate.
-func New(addr string, rps float64, post func(any)) *Client {
+func New(addr string, rps float64, post func(core.Input)) *Client {
 	return &Client{
 		base: "http://" + addr,
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -16,7 +16,7 @@
 	srv := httptest.NewServer(h)
 	defer srv.Close()
 	got := make(chan core.Clouded, 1)
-	New(strings.TrimPrefix(srv.URL, "http://"), 100, func(in any) { got <- in.(core.Clouded) }).Call(q)
+	New(strings.TrimPrefix(srv.URL, "http://"), 100, func(in core.Input) { got <- in.(core.Clouded) }).Call(q)
 	select {
 	case r := <-got:
 		return r
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -48,8 +48,8 @@
 
 // settle plays a state service with the given records, and gives the reply to a
 // request, with what was written.
-func settle(n *Node, in any, stored map[string]*wire.Job) (reply *Reply, wrote []Write) {
-	inputs := []any{in}
+func settle(n *Node, in Input, stored map[string]*wire.Job) (reply *Reply, wrote []Write) {
+	inputs := []Input{in}
 	for len(inputs) > 0 {
 		in, inputs = inputs[0], inputs[1:]
 		for _, e := range n.Step(n.now+1, in) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,10 +17,10 @@
 type Node struct {
 	cfg Config
 	now Time
-	out []any // effects of the present step
+	out []Effect // effects of the present step
 
 	nextID  uint64
-	pending map[uint64]func(any) // what to do with the results of requests, by their ids
+	pending map[uint64]func(Result) // what to do with the results of requests, by their ids
 
 	recordsCopy
 	siteView
@@ -101,16 +101,16 @@
 
 // peerExchange is what we tell the other controllers and hear of them.
 type peerExchange struct {
-	peers      map[string]*peer
-	gossipAt   Time
-	gossipLast Time
-	ver        uint64      // of our view of our own machines
-	told       []change    // in order of version
-	strayed    []int       // machines of others that came here lately
-	kept       map[int]int // machines that the leader keeps for a job
-	keptAt     Time
-	retiring   []int // machines that the leader wants emptied
-	ownInfoAt  Time
+	peers       map[string]*peer
+	gossipAt    Time
+	gossipLast  Time
+	ver         uint64      // of our view of our own machines
+	changeLog   []change    // of our machines, in order of version
+	strayHosts  []int       // machines of others that came here lately
+	keptHosts   map[int]int // machines that the leader keeps for a job
+	keptHostsAt Time
+	retiring    []int // machines that the leader wants emptied
+	ownInfoAt   Time
 
 	refusedSince map[string]Time
 	roomAt       Time
@@ -155,7 +155,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg:     cfg,
-		pending: map[uint64]func(any){},
+		pending: map[uint64]func(Result){},
 		recordsCopy: recordsCopy{
 			finished:      map[finishedKind]*wire.Job{},
 			gangs:         map[string]*gang{},
@@ -165,7 +165,7 @@
 		},
 		peerExchange: peerExchange{
 			peers:        map[string]*peer{},
-			kept:         map[int]int{},
+			keptHosts:    map[int]int{},
 			refusedSince: map[string]Time{},
 		},
 		ownerState: ownerState{
@@ -202,7 +202,7 @@
 }
 
 // Step takes one input and returns its effects.
-func (n *Node) Step(now Time, in any) []any {
+func (n *Node) Step(now Time, in Input) []Effect {
 	n.out = nil
 	if gap := now - n.now; n.now > 0 && gap > pauseThreshold {
 		n.now = now
@@ -265,19 +265,19 @@
 	n.expireUsers()
 }
 
-func (n *Node) emit(e any) { n.out = append(n.out, e) }
+func (n *Node) emit(e Effect) { n.out = append(n.out, e) }
 
 func (n *Node) log(level LogLevel, text string, args ...any) {
 	n.emit(Log{Level: level, Text: text, Args: args})
 }
 
-func (n *Node) id(f func(any)) uint64 {
+func (n *Node) id(f func(Result)) uint64 {
 	n.nextID++
 	n.pending[n.nextID] = f
 	return n.nextID
 }
 
-func (n *Node) resolve(id uint64, in any) {
+func (n *Node) resolve(id uint64, in Result) {
 	if f := n.pending[id]; f != nil {
 		delete(n.pending, id)
 		f(in)
@@ -285,7 +285,7 @@
 }
 
 func (n *Node) commit(class Class, conds []Cond, writes []Write, f func(Committed)) {
-	id := n.id(func(in any) {
+	id := n.id(func(in Result) {
 		c := in.(Committed)
 		n.storeHeard(c.Outcome)
 		if c.Limited && len(writes) > 0 {
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -92,7 +92,7 @@
 		h.direct[k] = directStart{at: n.now}
 	}
 	term, session := h.term, h.session
-	id := n.id(func(in any) {
+	id := n.id(func(in Result) {
 		if h.term != term || h.session != session {
 			return
 		}
--- a/internal/core/direct_test.go
+++ b/internal/core/direct_test.go
@@ -14,11 +14,11 @@
 	n   *Node
 	now Time
 	rev uint64
-	out []any // effects that are not for the state service
-	lag bool  // the watch hangs: checks name a revision that our copy has not reached
+	out []Effect // effects that are not for the state service
+	lag bool     // the watch hangs: checks name a revision that our copy has not reached
 }
 
-func (d *drive) step(in any) {
+func (d *drive) step(in Input) {
 	for _, e := range d.n.Step(d.now, in) {
 		switch x := e.(type) {
 		case Lease:
@@ -145,7 +145,7 @@
 		}
 		d.report(13, o.Orders.Token)
 		d.wait(4 * second)
-		if at := slices.IndexFunc(d.out, func(e any) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != c.status {
+		if at := slices.IndexFunc(d.out, func(e Effect) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != c.status {
 			t.Errorf("outcome %d: answered with %+v", c.outcome, d.out)
 		}
 	}
@@ -166,7 +166,7 @@
 	d.wait(4 * second)
 	d.report(9, o.Orders.Token)
 	d.wait(4 * second)
-	if at := slices.IndexFunc(d.out, func(e any) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != 503 {
+	if at := slices.IndexFunc(d.out, func(e Effect) bool { _, is := e.(Reply); return is }); at < 0 || d.out[at].(Reply).Status != 503 {
 		t.Errorf("answered with %+v", d.out)
 	}
 }
--- a/internal/core/fleet_size_test.go
+++ b/internal/core/fleet_size_test.go
@@ -56,7 +56,7 @@
 	for i := range machines {
 		h := n.hostOf(fmt.Sprintf("vm-%06d", i))
 		h.redirectAt, h.straying, h.info.quiet = n.now, true, 2
-		n.strayed = append(n.strayed, h.ix)
+		n.strayHosts = append(n.strayHosts, h.ix)
 	}
 	strays := n.strays()
 	if len(strays) != machines {
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -79,9 +78,9 @@
 func (n *Node) note(h *host) {
 	n.ver++
 	h.ver = n.ver
-	n.told = append(n.told, change{n.ver, h.ix})
-	if len(n.told) > 2*len(n.hosts)+64 {
-		n.told = slices.DeleteFunc(n.told, func(c change) bool { return n.hosts[c.host].ver != c.ver })
+	n.changeLog = append(n.changeLog, change{n.ver, h.ix})
+	if len(n.changeLog) > 2*len(n.hosts)+64 {
+		n.changeLog = slices.DeleteFunc(n.changeLog, func(c change) bool { return n.hosts[c.host].ver != c.ver })
 	}
 }
 
@@ -99,8 +98,8 @@
 func (n *Node) withChanges(m wire.Gossip, base uint64, limit int) *wire.Gossip {
 	m.Since, m.Ver = base, n.ver
 	var names wire.Interner
-	at := sort.Search(len(n.told), func(i int) bool { return n.told[i].ver > base })
-	for _, c := range n.told[at:] {
+	at := sort.Search(len(n.changeLog), func(i int) bool { return n.changeLog[i].ver > base })
+	for _, c := range n.changeLog[at:] {
 		h := n.hosts[c.host]
 		n.work++
 		if h.ver != c.ver || h.part < 0 || !n.valid(n.parts[h.part]) || !h.info.known {
@@ -124,73 +123,6 @@
 	return &m
 }
 
-// gossipByStore leaves the message with the state service while some peer
-// can't be heard. Zones that are cut from each other both reach the service,
-// so the leader goes on knowing the machines on the other side. Nothing rests
-// on it: a message that is lost, late or old costs a better choice, no more.
-// It holds as many changes as fit a value; the rest follows with the next.
-func (n *Node) gossipByStore(m wire.Gossip) {
-	if n.now < n.roomAt || !n.storeOK || n.now < 10*second {
-		return
-	}
-	silent, base := false, n.ver
-	for _, x := range n.cfg.Members {
-		if x.Label == n.cfg.Self {
-			continue
-		}
-		if p := n.peers[x.Label]; p == nil || p.byStore || n.now-p.at > 3*second {
-			silent = true
-			if p != nil { // one that was never heard may be dead; it will ask
-				base = min(base, n.seenBy(x.Label))
-			}
-		}
-	}
-	if !silent {
-		return
-	}
-	n.roomAt = n.now + n.cfg.Report
-	m.Returned = m.Returned[max(0, len(m.Returned)-20):]
-	m.Retire = m.Retire[:min(len(m.Retire), 20)]
-	m.Strays = m.Strays[:min(len(m.Strays), 20)]
-	// 40 bytes are ample for a machine, with six images; names and the rest
-	// stay well within a quarter of the value.
-	short := n.withChanges(m, base, max(1, n.cfg.ValueBytes*5/8/40))
-	for k := len(short.Hosts); k > 1 && !n.fits(short); {
-		// Where values are small the rest of the message takes most of one.
-		k /= 2
-		m.Returned, m.Retire, m.Strays = m.Returned[:len(m.Returned)/2], m.Retire[:len(m.Retire)/2], m.Strays[:len(m.Strays)/2]
-		m.Kept, m.Holds = m.Kept[:min(len(m.Kept), 8*k)], m.Holds[:min(len(m.Holds), 8*k)]
-		short = n.withChanges(m, base, k)
-	}
-	if !n.fits(short) {
-		return
-	}
-	if short.Ver < n.ver {
-		// More is to be told than fits. With hundreds of machines up at once
-		// the leader would plan without most of them for a while.
-		n.roomAt = n.now + max(second, Time(float64(n.cfg.Report)*n.scarcity()))
-	}
-	n.commit(Bulk, nil, []Write{{Key: wire.MailboxPrefix + n.cfg.Self, Value: short}}, func(Committed) {})
-}
-
-// fits tells whether a value is within the limits.
-func (n *Node) fits(v any) bool {
-	size, err := wire.JSONSize(v)
-	return err == nil && size <= n.cfg.ValueBytes
-}
-
-// gossipFromStore takes a message left with the state service, unless the
-// peer can be heard directly or the message is an old one.
-func (n *Node) gossipFromStore(m *wire.Gossip) {
-	if p := n.peers[m.From]; p != nil && (!p.byStore && n.now-p.at < 3*second || p.msg.Life == m.Life && m.UpS <= p.msg.UpS) {
-		return
-	}
-	n.gossiped(m)
-	if p := n.peers[m.From]; p != nil && p.msg == m {
-		p.byStore = true
-	}
-}
-
 // ownInfo brings our view of our own machines up to date.
 func (n *Node) ownInfo() {
 	for _, p := range n.parts {
@@ -241,145 +173,6 @@
 	h.info, h.infoTerm = v, term
 }
 
-func (n *Node) countImages(h *host) int {
-	c := 0
-	h.images.each(func(int) { c++ })
-	return c
-}
-
-// imagePause is how often the images on our machines are written down. What
-// the last moments before a crash added is lost, at the price of a fetch.
-const imagePause = 20 * second
-
-// keepImages writes down which machine has which image. Without it, every
-// choice after all controllers had died was blind to what is cached.
-func (n *Node) keepImages() {
-	if n.now < n.imagesAt || !n.storeOK {
-		return
-	}
-	n.imagesAt = n.now + imagePause
-	rec := &wire.Images{Hosts: map[string][]int{}}
-	count := 0
-	room := n.cfg.ValueBytes * 3 / 4 // in bytes, which the sums below stay well within
-	var names wire.Interner
-	for _, p := range n.parts {
-		if !n.valid(p) {
-			continue
-		}
-		for _, h := range p.hosts {
-			if h.returned || h.term != p.rev || len(h.images) == 0 {
-				continue
-			}
-			if room -= len(h.name) + 6; room < 0 {
-				break
-			}
-			h.images.each(func(im int) {
-				name := n.images.Name(im)
-				if names.Find(name) < 0 {
-					room -= len(name) + 3
-				}
-				if room -= 4; room > 0 {
-					rec.Hosts[h.name] = append(rec.Hosts[h.name], names.Of(name))
-					count++
-				}
-			})
-		}
-	}
-	if count == n.imagesKept {
-		return
-	}
-	n.imagesKept = count
-	for i := range names.Len() {
-		rec.Names = append(rec.Names, names.Name(i))
-	}
-	n.commit(Bulk, nil, []Write{{Key: wire.ImagePrefix + n.cfg.Self, Value: rec}}, func(Committed) {})
-}
-
-// takeImages learns from what was written down.
-func (n *Node) takeImages(rec *wire.Images) {
-	for _, name := range slices.Sorted(maps.Keys(rec.Hosts)) {
-		if n.hostIx.Find(name) < 0 && n.loaded {
-			continue // a machine that nobody has spoken of since is gone
-		}
-		h := n.hostOf(name)
-		for _, im := range rec.Hosts[name] {
-			if im >= 0 && im < len(rec.Names) {
-				h.images.add(n.images.Of(rec.Names[im]))
-			}
-		}
-	}
-}
-
-// strayFor is how long a machine counts as having come to a controller that
-// does not own it.
-const strayFor = 12 * second
-
-// strays names machines of others that came here lately although their owner
-// says that it misses their reports, in order of name. It needs no others, but it needs
-// all of these: one that is left out counts as lost and is returned, and after an owner's
-// failure its machines, thousands at a large site, all come to its peers at once.
-func (n *Node) strays() []string {
-	var out []string
-	n.strayed = slices.DeleteFunc(n.strayed, func(ix int) bool {
-		h := n.hosts[ix]
-		if h.redirectAt == 0 || n.now-h.redirectAt >= strayFor {
-			h.straying = false
-			return true
-		}
-		if h.info.quiet > 0 {
-			out = append(out, h.name)
-		}
-		return false
-	})
-	slices.Sort(out)
-	return out
-}
-
-// lost tells whether a silent machine is dead or hangs, rather than cut from
-// us or deaf for a moment: it has not turned to any peer, and its neighbours
-// still report or it has had the time to try one.
-func (n *Node) lost(h *host, silent Time, neighbours bool) bool {
-	if silent < 3*n.cfg.Report+second {
-		return false
-	}
-	if silent > n.cfg.Lease+5*second {
-		return true // wherever it reports, nobody could answer it
-	}
-	heard := false
-	for _, m := range n.cfg.Members {
-		p := n.peers[m.Label]
-		if p == nil || n.now-p.at > 3*second {
-			continue
-		}
-		heard = true
-		if _, strayed := slices.BinarySearch(p.msg.Strays, h.name); strayed {
-			return false
-		}
-	}
-	// A worker that can't reach us has tried a peer by now: a report, its
-	// patience of 4 s, a pause, and the peer's next message.
-	return neighbours || heard && silent > 2*n.cfg.Report+7*second
-}
-
-// fetchGB sums the images that a machine is fetching, or about to.
-func (n *Node) fetchGB(h *host) float64 {
-	sum := 0.0
-	for i := range h.on {
-		j := n.jobs[h.on[i].job]
-		if j.rec.Spec == nil || h.images.has(j.image) {
-			continue
-		}
-		twice := false
-		for k := range i {
-			twice = twice || n.jobs[h.on[k].job].image == j.image
-		}
-		if !twice {
-			sum += j.rec.Spec.ImageGB
-		}
-	}
-	return sum
-}
-
 // gossiped takes a peer's message.
 func (n *Node) gossiped(m *wire.Gossip) {
 	if m == nil || !slices.ContainsFunc(n.cfg.Members, func(x Member) bool { return x.Label == m.From }) || m.From == n.cfg.Self {
@@ -478,11 +271,11 @@
 	}
 	// Owners choose the machines. Without knowing which ones the leader keeps
 	// for a gang they filled them again as soon as a task on them had ended.
-	clear(n.kept)
-	n.keptAt = n.now
+	clear(n.keptHosts)
+	n.keptHostsAt = n.now
 	for _, k := range m.Kept {
 		if h, j := n.hostIx.Find(k.Host), n.refs.Find(k.Ref); h >= 0 && j >= 0 {
-			n.kept[h] = j
+			n.keptHosts[h] = j
 		}
 	}
 	asked := make(map[string]bool, len(m.Retire))
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -61,7 +61,7 @@
 	if len(d.n.jobs[0].rec.Active) == 0 {
 		t.Error("a copy proved a task gone")
 	}
-	if !slices.ContainsFunc(d.out, func(e any) bool { r, is := e.(Reply); return is && r.Status == 503 }) {
+	if !slices.ContainsFunc(d.out, func(e Effect) bool { r, is := e.(Reply); return is && r.Status == 503 }) {
 		t.Errorf("answered with %+v", d.out)
 	}
 }
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -58,7 +58,7 @@
 }
 
 func (n *Node) cloudCall(c Cloud, f func(Clouded)) {
-	c.ID = n.id(func(in any) {
+	c.ID = n.id(func(in Result) {
 		r := in.(Clouded)
 		if r.Outcome != Unknown {
 			n.cloudBad = 0
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -53,7 +53,7 @@
 		}
 		l.waiting = true
 		sent, was := n.now, l.id
-		id := n.id(func(in any) {
+		id := n.id(func(in Result) {
 			r := in.(Leased)
 			n.storeHeard(r.Outcome)
 			l.waiting = false
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -27,7 +27,7 @@
 // Write puts or drops a key. Value is a record of package wire.
 type Write struct {
 	Key   string
-	Value any // nil drops the key
+	Value wire.Record // nil drops the key
 	Lease uint64
 }
 
@@ -51,6 +51,46 @@
 	LogError
 )
 
+// Effect is something that the core wants done: one of the types below.
+type Effect interface{ effect() }
+
+// Input is something that the core is told: one of the types below.
+type Input interface{ input() }
+
+// Result is an input that answers an effect with an id.
+type Result interface {
+	Input
+	result()
+}
+
+func (Commit) effect()  {}
+func (Read) effect()    {}
+func (Lease) effect()   {}
+func (Cloud) effect()   {}
+func (Direct) effect()  {}
+func (Send) effect()    {}
+func (Forward) effect() {}
+func (Reply) effect()   {}
+func (Log) effect()     {}
+
+func (Tick) input()        {}
+func (Reported) input()    {}
+func (UserRequest) input() {}
+func (Forwarded) input()   {}
+func (Committed) input()   {}
+func (Directed) input()    {}
+func (GotJob) input()      {}
+func (Leased) input()      {}
+func (Changes) input()     {}
+func (Clouded) input()     {}
+func (Gossiped) input()    {}
+
+func (Committed) result() {}
+func (Directed) result()  {}
+func (GotJob) result()    {}
+func (Leased) result()    {}
+func (Clouded) result()   {}
+
 // Effects.
 type (
 	// Commit is a transaction on the state service.
@@ -186,5 +226,5 @@
 type Event struct {
 	Key   string
 	Rev   uint64
-	Value any
+	Value wire.Record
 }
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -157,7 +157,7 @@
 func (n *Node) readNeed(op *userOp, ref string) {
 	op.needs.asked++
 	op.needs.states[ref] = wire.Live
-	id := n.id(func(in any) {
+	id := n.id(func(in Result) {
 		g := in.(GotJob)
 		n.storeHeard(g.Outcome)
 		op.needs.asked--
@@ -264,7 +264,7 @@
 // read reads the record of a job above.
 func (s *ancestorSearch) read(ref string) {
 	n := s.n
-	id := n.id(func(in any) {
+	id := n.id(func(in Result) {
 		g := in.(GotJob)
 		n.storeHeard(g.Outcome)
 		switch {
--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -82,7 +82,7 @@
 	n := smallValues()
 	refs := manyNeeds(n, 900)
 	submit := func(req uint64, allowed int) (reply *Reply, wrote []Write) {
-		inputs := []any{any(UserRequest{Req: req, Kind: wire.Submit, Body: submission("wk-000100", refs...)})}
+		inputs := []Input{UserRequest{Req: req, Kind: wire.Submit, Body: submission("wk-000100", refs...)}}
 		for len(inputs) > 0 {
 			in := inputs[0]
 			inputs = inputs[1:]
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -322,7 +322,7 @@
 			n.work++
 			if n.usable(h) {
 				if s := n.slotOf(h); s != nil {
-					if j, kept := n.kept[h.ix]; kept && n.now-n.keptAt < 5*second {
+					if j, kept := n.keptHosts[h.ix]; kept && n.now-n.keptHostsAt < 5*second {
 						s.keptFor = j + 1
 					}
 					// What is proven gone leaves its room, though its record
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -337,7 +337,7 @@
 
 // lookUp reads the record and goes on by the kind of request.
 func (n *Node) lookUp(op *userOp) {
-	id := n.id(func(in any) {
+	id := n.id(func(in Result) {
 		g := in.(GotJob)
 		n.storeHeard(g.Outcome)
 		switch g.Outcome {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -21,7 +21,7 @@
 	race    func() // what others do between our reading and our writing
 }
 
-func (s *storeStub) put(key string, value any) {
+func (s *storeStub) put(key string, value wire.Record) {
 	s.rev++
 	s.records[key] = core.Event{Key: key, Rev: s.rev, Value: value}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,9 +30,9 @@
 type Node struct {
 	log    *slog.Logger
 	start  time.Time
-	inputs chan any   // what the state service, the cloud and peers say
-	users  chan asked // requests of users, also those that peers hand on
-	hosts  chan asked // reports of workers
+	inputs chan core.Input // what the state service, the cloud and peers say
+	users  chan asked      // requests of users, also those that peers hand on
+	hosts  chan asked      // reports of workers
 	core   *core.Node
 	links  map[string]*peer.Link
 	store  *store.Client
@@ -47,7 +47,7 @@
 // asked is an input that wants a reply.
 type asked struct {
 	req   uint64
-	in    any
+	in    core.Input
 	reply chan core.Reply
 }
 
@@ -77,7 +77,7 @@
 	n := &Node{
 		// A connection has one request under way at most, so with as many
 		// places as sockets nothing is refused for want of a place.
-		log: log, start: time.Now(), inputs: make(chan any, inputQueue),
+		log: log, start: time.Now(), inputs: make(chan core.Input, inputQueue),
 		users: make(chan asked, room), hosts: make(chan asked, room),
 		links: map[string]*peer.Link{}, waiting: map[uint64]chan core.Reply{},
 	}
@@ -160,7 +160,7 @@
 }
 
 // post gives the core an input.
-func (n *Node) post(in any) { n.inputs <- in }
+func (n *Node) post(in core.Input) { n.inputs <- in }
 
 const (
 	// defaultConnections is how many users and workers are taken where the settings
@@ -176,9 +176,9 @@
 // asker makes a function that gives the core a request by way of a queue and
 // waits for its reply.
 func (n *Node) asker(queue chan asked) api.Ask {
-	return func(make_ func(req uint64) any) (core.Reply, bool) {
+	return func(request func(req uint64) core.Input) (core.Reply, bool) {
 		a := asked{req: n.nextReq.Add(1), reply: make(chan core.Reply, 1)}
-		a.in = make_(a.req)
+		a.in = request(a.req)
 		select {
 		case queue <- a:
 		default:
@@ -196,7 +196,7 @@
 // next waits for an input. What the state service and peers say goes first: a
 // herd of requests must not hold up renewals and the watch. Users and workers
 // take turns by chance.
-func (n *Node) next(ctx context.Context, tick <-chan time.Time) any {
+func (n *Node) next(ctx context.Context, tick <-chan time.Time) core.Input {
 	select {
 	case in := <-n.inputs:
 		return in
@@ -234,7 +234,7 @@
 	}
 }
 
-func (n *Node) perform(e any) {
+func (n *Node) perform(e core.Effect) {
 	switch x := e.(type) {
 	case core.Commit:
 		n.store.Commit(x)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,7 +10,7 @@
 // A herd of workers or users does not hold up what the state service says, nor
 // does either keep the other from being served.
 func TestOrderOfInputs(t *testing.T) {
-	n := &Node{inputs: make(chan any, 8), users: make(chan asked, 200), hosts: make(chan asked, 200), waiting: map[uint64]chan core.Reply{}}
+	n := &Node{inputs: make(chan core.Input, 8), users: make(chan asked, 200), hosts: make(chan asked, 200), waiting: map[uint64]chan core.Reply{}}
 	for i := range 200 {
 		n.hosts <- asked{req: uint64(i), in: core.Reported{}}
 		n.users <- asked{req: uint64(1000 + i), in: core.UserRequest{}}
@@ -39,7 +39,7 @@
 func TestFullQueueRefuses(t *testing.T) {
 	n := &Node{users: make(chan asked, 1)}
 	n.users <- asked{}
-	if _, ok := n.asker(n.users)(func(uint64) any { return nil }); ok {
+	if _, ok := n.asker(n.users)(func(uint64) core.Input { return nil }); ok {
 		t.Error("a request got a reply from a full queue")
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,7 +14,7 @@
 
 // Service is what controllers offer each other.
 type Service struct {
-	post func(any)
+	post func(core.Input)
 	ask  api.Ask
 }
 
@@ -29,7 +29,7 @@
 
 // User serves a request that a peer could not serve itself.
 func (s *Service) User(c *wire.UserCall, a *wire.UserAnswer) error {
-	r, ok := s.ask(func(req uint64) any {
+	r, ok := s.ask(func(req uint64) core.Input {
 		return core.UserRequest{Req: req, Kind: c.Kind, Ref: c.Ref, Body: c.Body, Forwarded: true}
 	})
 	if !ok {
@@ -44,7 +44,7 @@
 }
 
 // Serve accepts peers until the listener closes.
-func Serve(l net.Listener, post func(any), ask api.Ask) error {
+func Serve(l net.Listener, post func(core.Input), ask api.Ask) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Peer", &Service{post: post, ask: ask}); err != nil {
 		return err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,7 +16,7 @@
 	}
 	defer l.Close()
 	heard := make(chan *wire.Gossip, 10)
-	go Serve(l, func(in any) { heard <- in.(core.Gossiped).Msg }, func(input func(uint64) any) (core.Reply, bool) {
+	go Serve(l, func(in core.Input) { heard <- in.(core.Gossiped).Msg }, func(input func(uint64) core.Input) (core.Reply, bool) {
 		u := input(5).(core.UserRequest)
 		if !u.Forwarded {
 			t.Error("a forwarded request could be forwarded on")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,11 +29,11 @@
 	bulk  *rate.Limiter // requests that may wait
 	slots chan struct{}
 	pause time.Duration // between two watches
-	post  func(any)
+	post  func(core.Input)
 }
 
 // New makes a client that stays within its share of the service's limits.
-func New(addr string, members int, rps float64, post func(any)) *Client {
+func New(addr string, members int, rps float64, post func(core.Input)) *Client {
 	transport := func(conns int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -15,12 +15,12 @@
 )
 
 // standIn answers like the state service; each test sets what it needs.
-func standIn(t *testing.T, h http.HandlerFunc) (*Client, chan any) {
+func standIn(t *testing.T, h http.HandlerFunc) (*Client, chan core.Input) {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
-	got := make(chan any, 100)
-	return New(strings.TrimPrefix(srv.URL, "http://"), 3, 1000, func(in any) { got <- in }), got
+	got := make(chan core.Input, 100)
+	return New(strings.TrimPrefix(srv.URL, "http://"), 3, 1000, func(in core.Input) { got <- in }), got
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
@@ -32,7 +32,7 @@
 	w.Write(b)
 }
 
-func next[T any](t *testing.T, c chan any) T {
+func next[T any](t *testing.T, c chan core.Input) T {
 	t.Helper()
 	select {
 	case v := <-c:
--- a/internal/store/tool.go
+++ b/internal/store/tool.go
@@ -19,7 +19,7 @@
 
 // NewTool makes a tool for the state service at an address.
 func NewTool(addr string) *Tool {
-	return &Tool{New(addr, 1, toolRPS, func(any) {})}
+	return &Tool{New(addr, 1, toolRPS, func(core.Input) {})}
 }
 
 // Faults of requests to the state service.
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -39,6 +39,22 @@
 	Format          = FormatAccounts
 )
 
+// Record is a value that the controllers keep in the state service: one of the types
+// that DecodeRecord gives, by pointer.
+type Record interface{ record() }
+
+func (*Job) record()             {}
+func (*Continuation) record()    {}
+func (*Needs) record()           {}
+func (*Part) record()            {}
+func (*Leader) record()          {}
+func (*Gang) record()            {}
+func (*Images) record()          {}
+func (*Types) record()           {}
+func (*Gossip) record()          {}
+func (*SupportedFormat) record() {}
+func (*Account) record()         {}
+
 // Final and live states of a job record.
 const (
 	Live      = 0
@@ -227,8 +243,8 @@
 
 // DecodeRecord reads a record by the kind of its key. It gives nil for a key
 // that is not ours.
-func DecodeRecord(key string, raw []byte) (any, error) {
-	var v any
+func DecodeRecord(key string, raw []byte) (Record, error) {
+	var v Record
 	switch {
 	case strings.HasPrefix(key, JobPrefix):
 		v = new(Job)
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -18,12 +18,12 @@
 type Client struct {
 	http  *http.Client
 	slots chan struct{}
-	post  func(any)
+	post  func(core.Input)
 }
 
 // NewClient makes a client. Connections are not kept: a machine is told
 // something now and then, and there are many of them.
-func NewClient(post func(any)) *Client {
+func NewClient(post func(core.Input)) *Client {
 	return &Client{
 		http: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: 700 * time.Millisecond}).DialContext,
--- a/internal/worker/client_test.go
+++ b/internal/worker/client_test.go
@@ -41,7 +41,7 @@
 	closed := l.Addr().String()
 	l.Close()
 	results := make(chan core.Outcome, 1)
-	c := NewClient(func(in any) { results <- in.(core.Directed).Outcome })
+	c := NewClient(func(in core.Input) { results <- in.(core.Directed).Outcome })
 	c.http.Timeout = 300 * time.Millisecond
 	for _, x := range []struct {
 		addr   string
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -23,7 +23,7 @@
 			api.Write(w, core.Reply{Status: 400, Body: wire.Error{Error: "malformed report"}})
 			return
 		}
-		a, ok := ask(func(req uint64) any { return core.Reported{Req: req, Report: rep} })
+		a, ok := ask(func(req uint64) core.Input { return core.Reported{Req: req, Report: rep} })
 		if !ok {
 			a = core.Reply{Status: 503, Body: wire.Error{Error: "overloaded"}}
 		}
--- a/internal/world/loopback.go
+++ b/internal/world/loopback.go
@@ -324,7 +324,7 @@
 }
 
 // ask carries a worker's or user's request to a controller; no answer is status 0.
-func (l *Loopback) ask(n *node, in any, reply func(core.Reply)) {
+func (l *Loopback) ask(n *node, in core.Input, reply func(core.Reply)) {
 	var req *http.Request
 	base := "http://" + l.procs[n.ix].front.addr()
 	switch x := in.(type) {
@@ -356,7 +356,7 @@
 }
 
 // replyOf reads an answer as the models expect it.
-func replyOf(in any, status int, body []byte) core.Reply {
+func replyOf(in core.Input, status int, body []byte) core.Reply {
 	r := core.Reply{Status: status, Body: body}
 	if _, report := in.(core.Reported); !report {
 		return r
--- a/internal/world/loopback_services.go
+++ b/internal/world/loopback_services.go
@@ -211,7 +211,7 @@
 			}
 			r = core.Clouded{Outcome: core.Refused}
 			if !l.cloud.outage {
-				r = l.cloud.call(q).(core.Clouded)
+				r = l.cloud.call(q)
 			}
 		})
 		switch {
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -91,7 +91,7 @@
 }
 
 func (n *node) hearCopy(r *wire.Report) {
-	n.ask(func(req uint64) any { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
+	n.ask(func(req uint64) core.Input { return core.Reported{Req: req, Report: r} }, func(core.Reply) {})
 }
 
 // deliverKept gives what was kept for the next leader to every controller, just
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -240,7 +240,7 @@
 	w.after(d, func() { w.store.hung[l]--; w.store.notify() })
 }
 
-func decode(key string, raw []byte) any {
+func decode(key string, raw []byte) wire.Record {
 	v, err := wire.DecodeRecord(key, raw)
 	must(err)
 	return v
@@ -330,7 +330,7 @@
 	return k != nil && decode(wire.LeaderKey, k.raw).(*wire.Leader).Node != n.label && w.now-w.store.ledFrom > 6*time.Second
 }
 
-func (c *cloud) call(q core.Cloud) any {
+func (c *cloud) call(q core.Cloud) core.Clouded {
 	r := core.Clouded{ID: q.ID, Outcome: core.OK}
 	switch {
 	case q.Flavors:
--- a/internal/world/users.go
+++ b/internal/world/users.go
@@ -84,7 +84,7 @@
 	}
 	w.after(patience, func() { get(core.Reply{}) })
 	if n.up {
-		n.ask(func(req uint64) any { return core.UserRequest{Req: req, Kind: kind, Ref: ref, Body: body} }, get)
+		n.ask(func(req uint64) core.Input { return core.UserRequest{Req: req, Kind: kind, Ref: ref, Body: body} }, get)
 	}
 }
 
--- a/internal/world/workers.go
+++ b/internal/world/workers.go
@@ -162,7 +162,7 @@
 			m := w.someNode()
 			w.after(time.Second+time.Duration(w.rng.Int64N(int64(w.copyDelay))), func() { m.hearCopy(r.message) })
 		}
-		r.to.ask(func(req uint64) any { return core.Reported{Req: req, Report: r.message} }, r.answered)
+		r.to.ask(func(req uint64) core.Input { return core.Reported{Req: req, Report: r.message} }, r.answered)
 	}
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -44,7 +44,7 @@
 	// Where controllers are real processes: how one is started, asked, and how a worker
 	// gets an address of its own.
 	launch      func(*node)
-	ask         func(n *node, in any, reply func(core.Reply))
+	ask         func(n *node, in core.Input, reply func(core.Reply))
 	serveWorker func(*workerSim) string
 }
 
@@ -117,8 +117,8 @@
 	req   uint64
 
 	still   time.Duration // until when it stands still
-	backlog []any         // what has come meanwhile
-	stuck   []any         // effects that it had decided on when it stopped
+	backlog []core.Input  // what has come meanwhile
+	stuck   []core.Effect // effects that it had decided on when it stopped
 	stops   bool          // before the effects of its next step
 }
 
@@ -339,7 +339,7 @@
 	w.after(d, n.start)
 }
 
-func (n *node) step(in any) {
+func (n *node) step(in core.Input) {
 	if !n.up {
 		return
 	}
@@ -386,7 +386,7 @@
 }
 
 // deliver gives an input to the same life of the controller after a delay.
-func (n *node) deliver(d time.Duration, in any) {
+func (n *node) deliver(d time.Duration, in core.Input) {
 	life := n.life
 	n.w.after(d, func() {
 		if n.life == life {
@@ -416,7 +416,7 @@
 const patience = 1500 * time.Millisecond
 
 // call runs a request of a controller against a service.
-func (n *node) call(fate func() (time.Duration, bool, bool), run func() any, lost any, refused func() any) {
+func (n *node) call(fate func() (time.Duration, bool, bool), run func() core.Input, lost core.Input, refused func() core.Input) {
 	w := n.w
 	if r := refused(); r != nil {
 		n.deliver(w.latency(), r)
@@ -439,7 +439,7 @@
 }
 
 // perform carries out an effect of the core.
-func (n *node) perform(e any) {
+func (n *node) perform(e core.Effect) {
 	w := n.w
 	switch x := e.(type) {
 	case core.Commit:
@@ -447,7 +447,7 @@
 	case core.Read:
 		n.read(x)
 	case core.Lease:
-		n.call(w.storeFate, func() any {
+		n.call(w.storeFate, func() core.Input {
 			out, id := w.store.lease(x.Lease, x.TTL)
 			return core.Leased{ID: x.ID, Outcome: out, Lease: id}
 		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.Leased{ID: x.ID, Outcome: core.Refused}))
@@ -470,8 +470,8 @@
 }
 
 // unlessRefused gives the answer to a request that the state service refuses at once.
-func (n *node) unlessRefused(refusal any) func() any {
-	return func() any {
+func (n *node) unlessRefused(refusal core.Input) func() core.Input {
+	return func() core.Input {
 		if n.w.store.refuses(n) {
 			return refusal
 		}
@@ -483,7 +483,7 @@
 func (n *node) commit(x core.Commit) {
 	w := n.w
 	puts := encodeWrites(x.Writes)
-	n.call(w.writeFate(len(puts)), func() any {
+	n.call(w.writeFate(len(puts)), func() core.Input {
 		refused := w.meter.refused
 		out, rev, failed := w.store.commit(n, x.If, puts)
 		return core.Committed{ID: x.ID, Outcome: out, Rev: rev, Failed: failed, Limited: w.meter.refused > refused}
@@ -493,7 +493,7 @@
 // read fetches the record of a job.
 func (n *node) read(x core.Read) {
 	w := n.w
-	n.call(w.storeFate, func() any {
+	n.call(w.storeFate, func() core.Input {
 		r := core.GotJob{ID: x.ID, Outcome: core.Missing}
 		if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
 			r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
@@ -509,7 +509,7 @@
 	if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
 		w.broke("stale_leader", "%s deals with the cloud", n.label)
 	}
-	n.call(w.fate, func() any { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() any {
+	n.call(w.fate, func() core.Input { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() core.Input {
 		if w.cut(n.label, n.zone, "cloud", "") {
 			return core.Clouded{ID: x.ID, Outcome: core.Unknown}
 		}
@@ -595,7 +595,7 @@
 			break
 		}
 		life := n.life
-		m.ask(func(req uint64) any {
+		m.ask(func(req uint64) core.Input {
 			return core.UserRequest{Req: req, Kind: x.Call.Kind, Ref: x.Call.Ref, Body: x.Call.Body, Forwarded: true}
 		}, func(r core.Reply) {
 			b, err := wire.Encode(r.Body)
@@ -610,7 +610,7 @@
 }
 
 // ask gives a request to a controller; reply is called at most once.
-func (n *node) ask(input func(req uint64) any, reply func(core.Reply)) {
+func (n *node) ask(input func(req uint64) core.Input, reply func(core.Reply)) {
 	if n.w.Settings.ask != nil {
 		n.w.Settings.ask(n, input(0), reply)
 		return
