--- a/cmd/micaport/main_test.go
+++ b/cmd/micaport/main_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -65,3 +67,27 @@
 		}
 	}
 }
+
+// What the files under deploy start is a command line that the program takes.
+func TestDeployFiles(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	line := regexp.MustCompile(`(?m)^run = "target/micaport (.*--config)"$`)
+	for _, path := range files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := line.FindSubmatch(text)
+		if found == nil {
+			t.Errorf("%s: no run line", path)
+			continue
+		}
+		args := append(strings.Fields(string(found[1])), file(t, "settings.json", goodSettings), "--check")
+		if err := run(args, io.Discard); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
