--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -43,7 +43,7 @@
 }
 
 // state is a job's state as it follows from all records.
-func (j *job) state() int {
+func (j *job) state() wire.JobState {
 	if j.rec.State == wire.Live && j.chain != nil && j.chain.ancestorWithdrawn {
 		return wire.Withdrawn
 	}
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -20,7 +20,7 @@
 	return n
 }
 
-func see(n *Node, rev int, ref string, state int, mod func(*wire.Spec), needs ...string) {
+func see(n *Node, rev int, ref string, state wire.JobState, mod func(*wire.Spec), needs ...string) {
 	sp := &wire.Spec{Ref: ref, Class: "c", Team: "t", Shape: wire.ShapeArray, Urgency: "low", Frames: 1, Image: "i", ExpectedS: 10, WaitsOn: needs}
 	if mod != nil {
 		mod(sp)
@@ -87,7 +87,7 @@
 	for _, c := range []struct {
 		needs  []string
 		status int
-		state  int
+		state  wire.JobState
 		stays  int
 	}{
 		{[]string{"wk-000001"}, 201, wire.Live, 1}, // in our copy
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,7 +71,10 @@
 }
 
 // finishedKind is what tells finished jobs apart that have nothing left on machines.
-type finishedKind struct{ state, frames int }
+type finishedKind struct {
+	state  wire.JobState
+	frames int
+}
 
 // siteView is what there is at the site. Names are mapped to indices where they come in.
 type siteView struct {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -24,7 +24,7 @@
 	return d, term
 }
 
-func lowJob(state int, active ...wire.Active) *wire.Job {
+func lowJob(state wire.JobState, active ...wire.Active) *wire.Job {
 	return &wire.Job{Frames: 1, Next: 2, State: state, Active: active,
 		Spec: &wire.Spec{Ref: "wk-000001", Team: "t", Shape: wire.ShapeArray, Urgency: "low", Frames: 1, Image: "i", Cores: 1}}
 }
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -71,7 +71,7 @@
 type placed struct {
 	taskKey
 	part    int
-	stop    int
+	stop    wire.StopMark
 	session uint64
 	at      int // its place among the active tasks of the record
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,6 +22,7 @@
 	hintsTidyAt Time
 
 	dealtAt  []Time    // when the shares of each team's limit were last dealt
+	gathered []bool    // by team: the last that was dealt was to gather all shares
 	excessAt Time      // when teams beyond their limits are reported next
 	placing  []placing // what the batch under way places on machines of our own
 
@@ -62,6 +63,7 @@
 	l.cloud = newCloudState()
 	l.returned, l.kept = nil, nil
 	l.dealtAt = dealTimes(len(l.dealtAt))
+	l.gathered = make([]bool, len(l.dealtAt))
 	l.dirty = true
 }
 
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -124,10 +124,10 @@
 
 // needed is what becomes of the jobs that a submission names.
 type needed struct {
-	all    []string        // as submitted
-	asked  int             // reads under way
-	states map[string]int  // of those that our copy did not have
-	daemon map[string]bool // of those, services
+	all    []string                 // as submitted
+	asked  int                      // reads under way
+	states map[string]wire.JobState // of those that our copy did not have
+	daemon map[string]bool          // of those, services
 
 	written map[int]bool // parts of the list of needs that the state service has
 }
@@ -137,7 +137,7 @@
 // ago by another controller, so they are read.
 func (n *Node) findNeeds(op *userOp) bool {
 	if op.needs == nil {
-		op.needs = &needed{all: op.spec.WaitsOn, states: map[string]int{}, daemon: map[string]bool{}, written: map[int]bool{}}
+		op.needs = &needed{all: op.spec.WaitsOn, states: map[string]wire.JobState{}, daemon: map[string]bool{}, written: map[int]bool{}}
 	}
 	for _, ref := range op.spec.WaitsOn {
 		if j := n.jobNamed(ref); j != nil && j.rec != nil {
@@ -152,7 +152,7 @@
 }
 
 // never marks a job that was never accepted.
-const never = -1
+const never wire.JobState = -1
 
 func (n *Node) readNeed(op *userOp, ref string) {
 	op.needs.asked++
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -16,6 +16,10 @@
 	dealPause = 10 * second
 	// urgentDealPause is that for withdrawing shares that somebody waits for.
 	urgentDealPause = second
+	// redealPause is that after shares have been gathered. A leader that takes over finds
+	// a backlog and gathers for it; were the owners then left without shares for long,
+	// they could admit nothing when it ends in its turn.
+	redealPause = 3 * second
 	// excessPause lies between two reports of a team that uses more than its limit.
 	excessPause = 30 * second
 )
@@ -28,11 +32,7 @@
 		return
 	}
 	for team := range n.cfg.Teams {
-		pause := dealPause
-		if p.atLimit[team] {
-			pause = urgentDealPause + Time(n.scarcity()*float64(dealPause-urgentDealPause))
-		}
-		if n.now-n.leader.dealtAt[team] < pause {
+		if n.now-n.leader.dealtAt[team] < p.dealPauseFor(team) {
 			continue
 		}
 		account, reason := n.ledger.Deal(team, p.demandOn(team))
@@ -44,13 +44,26 @@
 		}
 		key := wire.AccountKey(n.cfg.Teams[team].Name)
 		if p.w.also(Write{Key: key, Value: account}, Cond{key, n.ledger.Revision(team)}) {
-			n.leader.dealtAt[team] = n.now
+			n.leader.dealtAt[team], n.leader.gathered[team] = n.now, reason == quota.Gathered
 			n.log(LogDebug, "shares dealt", "team", n.cfg.Teams[team].Name, "reason", int(reason), "shares", len(account.Shares))
 		}
 		return
 	}
 }
 
+// dealPauseFor is how long a team's account is left alone after it was written. All pauses
+// are the longest where puts are scarce.
+func (p *plan) dealPauseFor(team int) Time {
+	pause := dealPause
+	switch {
+	case p.atLimit[team]:
+		pause = urgentDealPause
+	case p.n.leader.gathered[team]:
+		pause = redealPause
+	}
+	return pause + Time(p.n.scarcity()*float64(dealPause-pause))
+}
+
 // demandOn is what the shares of a team are to be dealt by.
 func (p *plan) demandOn(team int) quota.Demand {
 	n := p.n
--- a/internal/wire/active.go
+++ b/internal/wire/active.go
@@ -15,7 +15,7 @@
 	Part    int
 	Host    string
 	Session uint64
-	Stop    int
+	Stop    StopMark
 	// Admitted says that the owner of the part has admitted the task within the part's
 	// share of the team's limit; otherwise the leader has granted it. Format 4.
 	Admitted bool
@@ -43,7 +43,7 @@
 type runList struct {
 	part     int
 	session  uint64
-	stop     int
+	stop     StopMark
 	admitted bool
 	in       int
 }
@@ -54,9 +54,9 @@
 // mark is how a list's stop mark and the flag of admitted tasks are written.
 func (k runList) mark() int {
 	if k.admitted {
-		return k.stop | admittedFlag
+		return int(k.stop) | admittedFlag
 	}
-	return k.stop
+	return int(k.stop)
 }
 
 // Run gives the bounds of the run that an entry belongs to.
@@ -150,10 +150,11 @@
 		return err
 	}
 	var a Active
-	if err := d.DecodeMulti(&a.Part, &a.Session, &a.Stop); err != nil {
+	mark := 0
+	if err := d.DecodeMulti(&a.Part, &a.Session, &mark); err != nil {
 		return err
 	}
-	a.Admitted, a.Stop = a.Stop&admittedFlag != 0, a.Stop&^admittedFlag
+	a.Admitted, a.Stop = mark&admittedFlag != 0, StopMark(mark&^admittedFlag)
 	fields, err := d.DecodeArrayLen()
 	for at := 0; at < fields && err == nil; at += 4 {
 		count := 0
--- a/internal/wire/active_test.go
+++ b/internal/wire/active_test.go
@@ -18,7 +18,7 @@
 		var in Actives
 		for task, end := rng.IntN(50), rng.IntN(3000); task < end; {
 			a := Active{Task: task, Attempt: uint64(1 + rng.IntN(9999)), Part: rng.IntN(20), Host: "vm-0" + string(rune('0'+rng.IntN(10))),
-				Session: uint64(rng.IntN(3)), Stop: rng.IntN(3)}
+				Session: uint64(rng.IntN(3)), Stop: StopMark(rng.IntN(3))}
 			if rng.IntN(4) == 0 {
 				a.Host, a.Session = "", 0
 			}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -55,24 +55,30 @@
 func (*SupportedFormat) record() {}
 func (*Account) record()         {}
 
-// Final and live states of a job record.
+// JobState is the state of a job's record.
+type JobState int
+
+// States of a job's record; the last two are final.
 const (
-	Live      = 0
-	Done      = 1
-	Withdrawn = 2
+	Live      JobState = 0
+	Done      JobState = 1
+	Withdrawn JobState = 2
 )
 
+// StopMark says whether an active task is to go on.
+type StopMark int
+
 // Stop marks of an active task.
 const (
-	Keep    = 0
-	Preempt = 1 // save, then exit
-	Abandon = 2 // exit at once; the attempt is lost
+	Keep    StopMark = 0
+	Preempt StopMark = 1 // save, then exit
+	Abandon StopMark = 2 // exit at once; the attempt is lost
 )
 
 // Job is the record of one job, the sole truth about it.
 type Job struct {
 	Spec          *Spec    `msgpack:"s,omitempty"`
-	State         int      `msgpack:"st"`
+	State         JobState `msgpack:"st"`
 	Frames        int      `msgpack:"n"`
 	At            int64    `msgpack:"at"`           // wall-clock ms when accepted; orders queues only
 	Next          uint64   `msgpack:"nx"`           // next attempt number; never goes back
@@ -122,18 +128,21 @@
 	Life string `msgpack:"b"`
 }
 
-// States of a gang record.
+// GangState is the state of a gang's record.
+type GangState int
+
+// States of a gang's record.
 const (
-	GangTrying    = 0
-	GangConfirmed = 1
-	GangDropped   = 2
+	GangTrying    GangState = 0
+	GangConfirmed GangState = 1
+	GangDropped   GangState = 2
 )
 
 // Gang is the record of one attempt of a gang that spans parts.
 type Gang struct {
-	Attempt uint64 `msgpack:"t"`
-	State   int    `msgpack:"st"`
-	Parts   []int  `msgpack:"p"`
+	Attempt uint64    `msgpack:"t"`
+	State   GangState `msgpack:"st"`
+	Parts   []int     `msgpack:"p"`
 }
 
 // Images says which machines of a controller's parts have which images, so
--- a/internal/world/loopback.go
+++ b/internal/world/loopback.go
@@ -61,7 +61,7 @@
 	s.serveWorker = l.serveWorker
 	l.procs = make([]*process, len(s.Nodes))
 	for i := range l.procs {
-		p, err := l.addresses()
+		p, err := addresses(i)
 		if err != nil {
 			return nil, err
 		}
@@ -77,15 +77,21 @@
 	return l, nil
 }
 
-// addresses reserves two addresses for a controller.
-func (l *Loopback) addresses() (*process, error) {
+// addresses finds two addresses for a controller. They are at a loopback address of its
+// own: everything else listens at 127.0.0.1 and can't take a port while the controller is
+// away.
+func addresses(i int) (*process, error) {
 	p := &process{peers: map[int]*proxy{}}
+	var held []net.Listener
 	for _, into := range []*string{&p.public, &p.private} {
-		free, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", i+1))
 		if err != nil {
 			return nil, err
 		}
 		*into = free.Addr().String()
+		held = append(held, free)
+	}
+	for _, free := range held {
 		free.Close()
 	}
 	return p, nil
