--- a/internal/world/measure_test.go
+++ b/internal/world/measure_test.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"micaport/internal/core"
+	"micaport/internal/wire"
 )
 
 // waits is a distribution of waiting times in milliseconds.
@@ -56,6 +57,14 @@
 			})
 		}, 900 * time.Millisecond},
 	}
+	days = append(days, admissionDay{"nobody leads for 30 s, twice, a third of the limit", func(w *World) {
+		w.every(300*time.Millisecond, func() {
+			inSpell := w.now > 90*time.Second && w.now < 120*time.Second || w.now > 200*time.Second && w.now < 230*time.Second
+			if k := w.store.keys[wire.LeaderKey]; inSpell && k != nil {
+				w.Crash(w.controller("leader"), 500*time.Millisecond)
+			}
+		})
+	}, 900 * time.Millisecond})
 	for _, day := range days {
 		for admission := core.AdmitNothing; admission <= core.AdmitGuaranteed; admission++ {
 			histogram, used, admitted := newWaits(), 0.0, 0
