--- a/cmd/micaport/main.go
+++ b/cmd/micaport/main.go
@@ -14,8 +14,10 @@
 	"github.com/alecthomas/kong"
 
 	"micaport/internal/config"
+	"micaport/internal/leadership"
 	"micaport/internal/limits"
 	"micaport/internal/node"
+	"micaport/internal/peer"
 	"micaport/internal/store"
 )
 
@@ -29,6 +31,9 @@
 		Show  showLimits  `cmd:"" help:"Show every team's limit, its shares, and what is used."`
 		Apply applyLimits `cmd:"" help:"Change limits and guarantees of teams while the controllers serve."`
 	} `cmd:"" help:"Limits of teams."`
+	Standby struct {
+		Show showStandby `cmd:"" help:"Show who leads, who stands by, how far each is, and the last takeovers."`
+	} `cmd:"" help:"Leader and standby."`
 }
 
 // files are the settings that every command reads.
@@ -48,6 +53,9 @@
 	}
 	settings, err := config.Load(f.Config)
 	operator, operatorErr := config.LoadOperator(f.Operator, f.Set)
+	if err == nil && operatorErr == nil {
+		err = settings.CheckOperator(operator)
+	}
 	return settings, operator, errors.Join(err, operatorErr)
 }
 
@@ -121,6 +129,24 @@
 	return nil
 }
 
+// showStandby prints who leads and who stands by.
+type showStandby struct {
+	JSON bool `help:"Print JSON."`
+}
+
+// Run asks the controllers and prints their answers.
+func (c *showStandby) Run(f *files, out io.Writer) error {
+	settings, _, err := f.load()
+	if err != nil {
+		return err
+	}
+	overview := leadership.Read(settings, store.NewTool(settings.External.State), peer.AskStandby)
+	if c.JSON {
+		return leadership.PrintJSON(out, overview)
+	}
+	return leadership.PrintTable(out, overview)
+}
+
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "micaport:", err)
--- a/cmd/micaport/main_test.go
+++ b/cmd/micaport/main_test.go
@@ -33,6 +33,7 @@
 	badOperator := file(t, "bad.ini", "[quota]\nadmission = always\nshare = 3\n[limits]\nx = 1\n")
 	changes := file(t, "changes.ini", "[red]\nversion = 0\ngpus_max = 10\n")
 	badChanges := file(t, "bad-changes.ini", "[red]\ngpus_max = many\nspeed = 3\n")
+	shortLease := file(t, "short.json", strings.Replace(goodSettings, `"lease_s":30`, `"lease_s":9`, 1))
 	cases := []struct {
 		args   []string
 		out    string   // of a call that succeeds
@@ -41,6 +42,12 @@
 		{args: []string{"--config", settings, "--operator", operator, "--check"}, out: "settings are in order"},
 		{args: []string{"--config", settings, "--set", "quota.admission=leaderless", "--check"}, out: "settings are in order"},
 		{args: []string{"--config", settings, "--set", "quota.admission=x", "--set", "speed=1", "--check"}, faults: []string{"admission must be", `"speed" is not SECTION.NAME`}},
+		{args: []string{"--config", settings, "--set", "standby.takeover=early", "--check"}, out: "settings are in order"},
+		{args: []string{"--config", settings, "--set", "standby.takeover=soon", "--check"}, faults: []string{`takeover must be lease or early, not "soon"`}},
+		{args: []string{"--config", shortLease, "--set", "standby.takeover=early", "--check"}, faults: []string{"takeover = early needs workers.lease_s above 9.5s, not 9s"}},
+		{args: []string{"--config", shortLease, "--check"}, out: "settings are in order"},
+		{args: []string{"--config", settings, "standby", "show"}, out: "the last takeovers can't be read"},
+		{args: []string{"--config", settings, "standby", "show", "--json"}, out: `"fault": "dial tcp`},
 		{args: []string{"--check"}, faults: []string{"--config FILE is required"}},
 		{args: []string{"--config", settings + ".none", "--check"}, faults: []string{"no such file"}},
 		{args: []string{"--config", changes, "--check"}, faults: []string{"invalid character"}},
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -33,7 +33,7 @@
 	return &Client{
 		base: "http://" + addr,
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 3, MaxConnsPerHost: 3, DisableCompression: true,
 		}},
 		limit: rate.NewLimiter(rate.Limit(rps*0.85), max(1, int(rps))),
@@ -41,6 +41,20 @@
 	}
 }
 
+// connectDeadline is the key of a context's value: when a call may no longer be begun.
+type connectDeadline struct{}
+
+// dial connects to the cloud, and not later than the call that needs the connection may
+// be begun: what waits for a connection must not be sent by a leader that has been
+// replaced meanwhile.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: 2 * time.Second}
+	if deadline, bounded := ctx.Value(connectDeadline{}).(time.Time); bounded {
+		dialer.Deadline = deadline
+	}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // Call runs one call of the core.
 func (c *Client) Call(q core.Cloud) {
 	decided := time.Now()
@@ -55,20 +69,21 @@
 			c.giveWay(ctx)
 		}
 		waited := c.limit.Wait(ctx)
+		begun := context.WithValue(ctx, connectDeadline{}, decided.Add(q.Within))
 		if late := (q.Hire != nil || q.Return != nil) && time.Since(decided) > q.Within; waited == nil && !late {
 			switch {
 			case q.Flavors:
 				var f wire.Flavors
-				r.Outcome = c.send(http.MethodGet, "/flavors", nil, &f)
+				r.Outcome = c.send(ctx, http.MethodGet, "/flavors", nil, &f)
 				r.Flavors = f.Rigs
 			case q.List:
 				r.Machines, r.Outcome = c.list(ctx)
 			case q.Hire != nil:
 				var h wire.Hosts
-				r.Outcome = c.send(http.MethodPost, "/hosts", q.Hire, &h)
+				r.Outcome = c.send(begun, http.MethodPost, "/hosts", q.Hire, &h)
 				r.Hosts = h.Hosts
 			case q.Return != nil:
-				r.Outcome = c.send(http.MethodPost, "/hosts/return", wire.Hosts{Hosts: q.Return}, nil)
+				r.Outcome = c.send(begun, http.MethodPost, "/hosts/return", wire.Hosts{Hosts: q.Return}, nil)
 			}
 		}
 		c.post(r)
@@ -92,7 +107,7 @@
 			q.Set("from", from)
 		}
 		var l wire.MachineList
-		if out := c.send(http.MethodGet, "/hosts?"+q.Encode(), nil, &l); out != core.OK {
+		if out := c.send(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &l); out != core.OK {
 			return nil, out
 		}
 		all = append(all, l.Hosts...)
@@ -107,7 +122,7 @@
 	}
 }
 
-func (c *Client) send(method, path string, body, into any) core.Outcome {
+func (c *Client) send(ctx context.Context, method, path string, body, into any) core.Outcome {
 	var rd io.Reader
 	if body != nil {
 		b, err := wire.Encode(body)
@@ -116,7 +131,7 @@
 		}
 		rd = bytes.NewReader(b)
 	}
-	req, err := http.NewRequest(method, c.base+path, rd)
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
 	if err != nil {
 		return core.Refused
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"micaport/internal/standby"
 )
 
 // Peer is another controller.
@@ -100,8 +102,16 @@
 	Preempt bool `ini:"preempt"`
 	// Admission says what controllers admit without the leader; see Admissions.
 	Admission string `ini:"admission"`
+	// Takeover says when a failed leader is replaced; see Takeovers.
+	Takeover string `ini:"takeover"`
 }
 
+// Takeovers are the values of the setting takeover.
+const (
+	TakeoverByLease = "lease" // once its lease has ended
+	TakeoverEarly   = "early" // as soon as a quorum suspects it
+)
+
 // Admissions are the values of the setting admission.
 const (
 	AdmitByLeader   = "leader"     // the leader grants everything
@@ -109,9 +119,23 @@
 	AdmitGuaranteed = "guaranteed" // others also admit new work within guarantees at any time
 )
 
+// LeaderLease is the life of a leader's lease on the state service.
+const LeaderLease = 5 * time.Second
+
+// CheckOperator names what in the operators' settings contradicts those of the platform.
+func (s *Settings) CheckOperator(op Operator) error {
+	// Until a leader that replaced another early may call the cloud, nobody returns a
+	// machine. That must not outlast the leases of the workers.
+	least := LeaderLease + standby.CloudWait(LeaderLease)
+	if lease := Seconds(s.Deployment.Workers.LeaseS); op.Takeover == TakeoverEarly && lease <= least {
+		return fmt.Errorf("takeover = %s needs workers.lease_s above %v, not %v", TakeoverEarly, least, lease)
+	}
+	return nil
+}
+
 // DefaultOperator is used where the INI file is silent.
 func DefaultOperator() Operator {
-	return Operator{IdleReturnS: 40, SpareMachines: 0, Preempt: true, Admission: AdmitByLeader}
+	return Operator{IdleReturnS: 40, SpareMachines: 0, Preempt: true, Admission: AdmitByLeader, Takeover: TakeoverByLease}
 }
 
 // Load reads and checks the settings; the error names every fault.
@@ -134,6 +158,7 @@
 var operatorSettings = map[string][]string{
 	"placement": {"idle_return_s", "spare_machines", "max_machines", "preempt"},
 	"quota":     {"admission"},
+	"standby":   {"takeover"},
 }
 
 // unknownNames names the sections and settings of an operators' file that there are not.
@@ -190,6 +215,9 @@
 	if !slices.Contains([]string{AdmitByLeader, AdmitLeaderless, AdmitGuaranteed}, op.Admission) {
 		faults = append(faults, fmt.Errorf("admission must be %s, %s or %s, not %q", AdmitByLeader, AdmitLeaderless, AdmitGuaranteed, op.Admission))
 	}
+	if !slices.Contains([]string{TakeoverByLease, TakeoverEarly}, op.Takeover) {
+		faults = append(faults, fmt.Errorf("takeover must be %s or %s, not %q", TakeoverByLease, TakeoverEarly, op.Takeover))
+	}
 	if op.IdleReturnS < 0 || op.SpareMachines < 0 || op.MaxMachines < 0 {
 		faults = append(faults, errors.New("settings of [placement] must not be negative"))
 	}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -46,6 +46,8 @@
 	MaxMachines int
 	Preempt     bool
 	Admission   Admission // what owners admit by themselves
+	// EarlyTakeover has a leader replaced that a quorum suspects, before its lease ends.
+	EarlyTakeover bool
 
 	WallMS func() int64 // time of day, for ordering queues only
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -30,7 +31,8 @@
 
 	leader leaderState
 	leadership
-	users userState
+	standby standbyState
+	users   userState
 
 	budget   writeBudget
 	runTimes runTimes
@@ -136,22 +138,13 @@
 	imagesKept  int // entries in the record of images as last written
 }
 
-// leadership is how we come to lead, and stop.
-type leadership struct {
-	leadAt   Time
-	resignAt Time
-	ledUnder uint64 // the lease of our claim
-	resigned uint64 // the claim that we have given up
-	cloudBad Time   // since when the cloud has not answered; 0: it does
-	cutSince Time   // since when we lead cut off; 0: we don't
-}
-
 // peer is what we have last heard of another controller.
 type peer struct {
 	at      Time
 	msg     *wire.Gossip
 	have    uint64 // how far we have taken in its changes
 	byStore bool   // heard through the state service only
+	broken  bool   // our connection to it has broken since
 }
 
 // New makes a node. Its parts follow from the settings alone.
@@ -190,6 +183,7 @@
 	}
 	n.makeParts()
 	n.makeLedger()
+	n.makeStandby()
 	for _, o := range cfg.Waits {
 		at := slices.IndexFunc(n.arrivals, func(a *arrivals) bool { return a.class == o.Class })
 		if at < 0 {
@@ -234,6 +228,12 @@
 		n.changes(x)
 	case Gossiped:
 		n.gossiped(x.Msg)
+	case HeartbeatReceived:
+		n.heartbeat(x.Msg)
+	case Disconnected:
+		n.disconnected(x.Peer)
+	case StatusRequest:
+		n.emit(Reply{Req: x.Req, Status: http.StatusOK, Body: n.standbyStatus()})
 	}
 	n.timers()
 	return n.out
@@ -247,6 +247,7 @@
 	}
 	n.writeFormat()
 	n.claimParts()
+	n.standbyTick()
 	n.claimLeader()
 	n.runChecks()
 	n.ownerTick()
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -22,6 +22,7 @@
 	m := wire.Gossip{
 		From: n.cfg.Self, Life: n.cfg.Life, UpS: n.now.Seconds(), StoreOK: n.storeOK, CutOff: n.isolated(),
 		Holds: n.holdsToTell(), Strays: n.strays(), Seen: map[string]wire.Seen{}, Need: n.budget.pendingRecords,
+		Leader: n.leaderView(),
 	}
 	for _, p := range n.parts {
 		if n.valid(p) {
@@ -199,6 +200,7 @@
 		n.takeHosts(m)
 	}
 	n.hearHolds(m.Holds)
+	n.hearLeaderView(m.From, m.Leader)
 	// A newer term than our copy shows means that we have lost the part and
 	// can't see it: we are refused by the state service.
 	for i, ix := range m.Parts {
--- a/internal/core/gossip_store.go
+++ b/internal/core/gossip_store.go
@@ -31,6 +31,9 @@
 		return
 	}
 	n.roomAt = n.now + n.cfg.Report
+	// Controllers that are cut from each other but all reach the service would otherwise
+	// replace each other's leader in turns: only who can be heard directly is evidence.
+	m.Leader = nil
 	m.Returned = m.Returned[max(0, len(m.Returned)-20):]
 	m.Retire = m.Retire[:min(len(m.Retire), 20)]
 	m.Strays = m.Strays[:min(len(m.Strays), 20)]
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -61,15 +61,15 @@
 	c.ID = n.id(func(in Result) {
 		r := in.(Clouded)
 		if r.Outcome != Unknown {
-			n.cloudBad = 0
-		} else if n.cloudBad == 0 {
-			n.cloudBad = n.now
+			n.cloudBadSince = 0
+		} else if n.cloudBadSince == 0 {
+			n.cloudBadSince = n.now
 		}
 		f(r)
 	})
 	// A process that stood still must not send what it decided before: another
 	// leads by then, and the machines may be in use.
-	c.Within = n.cfg.LeaderTTL
+	c.Within = n.cloudRight()
 	n.emit(c)
 }
 
@@ -77,7 +77,7 @@
 // sends hires.
 func (n *Node) cloudTick() {
 	c := &n.leader.cloud
-	term := n.leader.rev
+	tenure := n.leader.tenure
 	if n.now >= c.flavAt {
 		c.flavAt = n.now + 30*second
 		if n.types == nil || n.rigsAt == 0 {
@@ -92,7 +92,7 @@
 	if n.now >= c.listAt && !c.listing {
 		c.listing = true
 		n.cloudCall(Cloud{List: true}, func(r Clouded) {
-			if n.leader.rev != term {
+			if n.leader.tenure != tenure {
 				return
 			}
 			c.listing = false
@@ -106,12 +106,12 @@
 		})
 	}
 	for _, h := range c.hires {
-		if h.sent || n.now < h.at {
+		if h.sent || n.now < h.at || n.cloudRight() == 0 {
 			continue
 		}
 		h.sent = true
 		n.cloudCall(Cloud{Hire: &h.req}, func(r Clouded) {
-			if n.leader.rev != term {
+			if n.leader.tenure != tenure {
 				return
 			}
 			n.hired(h, r)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -11,12 +11,13 @@
 // leaderState is the leader's record and, while we lead, its memory. All of
 // the memory can be lost: a new leader rebuilds it from records and reports.
 type leaderState struct {
-	rec   *wire.Leader
-	rev   uint64
-	since Time
-	batch batch
-	dirty bool
-	at    Time
+	rec    *wire.Leader
+	rev    uint64
+	since  Time
+	tenure int // counts how often we began or ceased to lead
+	batch  batch
+	dirty  bool
+	at     Time
 
 	hint        map[taskKey]*host // the machine that a grant had in mind
 	hintsTidyAt Time
@@ -58,6 +59,7 @@
 }
 
 func (l *leaderState) reset() {
+	l.tenure++
 	l.batch = batch{name: "leader", gen: l.batch.gen + 1}
 	l.hint, l.placing = map[taskKey]*host{}, nil
 	l.cloud = newCloudState()
@@ -67,116 +69,6 @@
 	l.dirty = true
 }
 
-func (n *Node) putLeader(rec *wire.Leader, rev uint64) {
-	if rev <= n.leader.rev {
-		return
-	}
-	// Also one who has resigned: what it last decided and never heard of would
-	// else count as about to be written for ever, and its own owner would leave
-	// those records alone.
-	led := n.claimed()
-	n.leader.rec, n.leader.rev, n.leader.since = rec, rev, n.now
-	if n.leads() {
-		n.leader.reset()
-		n.log(LogInfo, "leading", "term", rev)
-	} else if led {
-		n.leader.reset()
-		n.log(LogInfo, "no longer leading")
-	}
-}
-
-func (n *Node) leads() bool { return n.claimed() && n.leader.rev != n.resigned }
-
-// claimed tells whether our copy shows a claim of ours, resigned or not.
-func (n *Node) claimed() bool {
-	r := n.leader.rec
-	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life
-}
-
-// claimLeader takes the leadership when nobody has it, or an earlier life of
-// ours had it.
-func (n *Node) claimLeader() {
-	l := &n.leader
-	if n.leads() || n.leadLease.id == 0 || n.now-n.leadLease.sent > n.leadLease.ttl/2 || n.now < n.leadAt {
-		return
-	}
-	if l.rec != nil && l.rec.Node != n.cfg.Self {
-		return
-	}
-	if l.rec == nil {
-		wait := Time(n.rank()) * 400 * time.Millisecond
-		if n.isolated() {
-			wait += 5 * second // let one that reaches more of the world have it
-		}
-		if n.now-l.since < wait {
-			return
-		}
-	}
-	n.leadAt = n.now + 500*time.Millisecond
-	n.ledUnder = n.leadLease.id
-	rev := l.rev
-	if l.rec == nil {
-		rev = 0
-	}
-	n.commit(Vital, []Cond{{wire.LeaderKey, rev}},
-		[]Write{{Key: wire.LeaderKey, Value: &wire.Leader{Node: n.cfg.Self, Life: n.cfg.Life}, Lease: n.leadLease.id}},
-		func(c Committed) {
-			if c.Outcome == BadLease {
-				n.leadLease.id, n.leadLease.next = 0, n.now
-			}
-		})
-}
-
-// isolated tells whether we can't reach the cloud, or no other controller.
-// Refusals don't count: they are the same for everyone.
-func (n *Node) isolated() bool {
-	if n.cloudBad > 0 && n.now-n.cloudBad > 4*second {
-		return true
-	}
-	if len(n.cfg.Members) < 2 {
-		return false
-	}
-	for _, p := range n.peers {
-		if !p.byStore && n.now-p.at < 6*second {
-			return false
-		}
-	}
-	return n.now > 6*second
-}
-
-// resign gives the leadership up when we are cut off but the state service
-// still serves us, and some other controller is there to take it that is not
-// cut off itself: when all are, nobody would do better.
-func (n *Node) resign() bool {
-	if !n.isolated() {
-		n.cutSince = 0
-		return false
-	}
-	if n.cutSince == 0 {
-		n.cutSince = n.now
-	}
-	// The peers need a moment to notice, and to tell, that they are cut too.
-	if n.now < n.resignAt || n.now-n.leader.since < 5*second || n.now-n.cutSince < n.cfg.Report+2*second {
-		return false
-	}
-	for _, p := range n.peers {
-		if n.now-p.at < 8*second && p.msg.StoreOK && !p.msg.CutOff {
-			n.resignAt = n.now + 10*second
-			n.log(LogInfo, "giving the leadership up: cut off")
-			// From here on we don't lead, even if our watch hangs and never
-			// shows it; only a refusal says that we still do.
-			n.resigned = n.leader.rev
-			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(c Committed) {
-				if c.Outcome == Refused {
-					n.resigned = 0
-				}
-			})
-			return true
-		}
-	}
-	return false
-}
-
 // leaderTick plans and grants.
 func (n *Node) leaderTick() {
 	l := &n.leader
@@ -186,12 +78,15 @@
 	// Refused by the state service, we may have lost the lead without seeing
 	// it. Commits would fail, but the cloud would go on obeying us.
 	// Nor does a new lease renew what was claimed under one that has ended.
-	if n.now-n.leadLease.sent > n.leadLease.ttl || n.leadLease.id != n.ledUnder {
+	if n.now-n.leadLease.sent > n.leadLease.ttl || n.leadLease.id != n.claimLease {
 		return
 	}
 	if n.resumedAt > 0 && n.now-n.resumedAt < 2*second {
 		return // the peers tell every second
 	}
+	if !n.mayDecide() {
+		return
+	}
 	n.cloudTick()
 	if n.now < l.at || (!l.dirty && n.now < l.at+second) || n.types == nil {
 		return
@@ -220,6 +115,7 @@
 	n.budget.pendingGrants = len(w.order) + left
 	n.log(LogDebug, "planned", "machines", n.machines(), "changed", len(w.order), "left", left)
 	w.send(&l.batch, nil)
+	n.decided()
 }
 
 // forgetHintsNowAndThen keeps the leader's memory of grants to those that matter.
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -23,7 +23,7 @@
 	if !n.leader.batch.holds(j) || !n.leads() {
 		t.Fatal("the leader's commit is not under way")
 	}
-	n.resigned = n.leader.rev
+	n.abandonedTerm = n.leader.rev
 	n.putLeader(&wire.Leader{Node: "n1", Life: "y"}, 9)
 	if n.leader.batch.holds(j) {
 		t.Error("the commit of a leader that has resigned still holds the record")
--- /dev/null
+++ b/internal/core/leadership.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"time"
+
+	"micaport/internal/standby"
+	"micaport/internal/wire"
+)
+
+// How a controller comes to lead, and stops.
+
+// leadership is what a controller knows of its own way to the lead and away from it.
+type leadership struct {
+	nextClaimAt   Time
+	nextResignAt  Time
+	claimLease    uint64 // the lease of our claim
+	abandonedTerm uint64 // the claim of ours that we have given up, or that has been replaced
+	acceptedTerm  uint64 // the last claim of ours of which we had the answer
+	acceptedAt    Time
+	cloudBadSince Time // since when the cloud has not answered; 0: it does
+	cutOffSince   Time // since when we lead cut off; 0: we don't
+}
+
+// putLeader takes in who leads. A new term of the same process goes on with what the
+// leader knows.
+func (n *Node) putLeader(rec *wire.Leader, rev uint64) {
+	if rev <= n.leader.rev {
+		return
+	}
+	// Also one who has resigned: what it last decided and never heard of would
+	// else count as about to be written for ever, and its own owner would leave
+	// those records alone.
+	led, continues := n.claimed(), n.leads()
+	n.leader.rec, n.leader.rev = rec, rev
+	n.observeLeader()
+	if continues && n.leads() {
+		n.log(LogInfo, "leading on", "term", rev)
+		return
+	}
+	n.leader.since = n.now
+	if n.leads() {
+		n.leader.reset()
+		n.log(LogInfo, "leading", "term", rev)
+	} else if led {
+		n.leader.reset()
+		n.log(LogInfo, "no longer leading")
+	}
+}
+
+func (n *Node) leads() bool { return n.claimed() && n.leader.rev != n.abandonedTerm }
+
+// claimed tells whether our copy shows a claim of ours, abandoned or not.
+func (n *Node) claimed() bool {
+	r := n.leader.rec
+	return r != nil && r.Node == n.cfg.Self && r.Life == n.cfg.Life
+}
+
+// claimLeader takes the leadership when nobody has it, when an earlier life of ours had
+// it, or early when a quorum suspects the leader.
+func (n *Node) claimLeader() {
+	l := &n.leader
+	if n.leads() || n.leadLease.id == 0 || n.now-n.leadLease.sent > n.leadLease.ttl/2 || n.now < n.nextClaimAt {
+		return
+	}
+	switch {
+	case l.rec == nil:
+		if n.now-l.since >= n.claimPause() {
+			n.sendClaim(n.newClaim(0), 0)
+		}
+	case l.rec.Node == n.cfg.Self:
+		n.sendClaim(n.newClaim(l.rec.Streak), l.rev)
+	case n.standby.follower.Advise(n.now) == standby.Replace && n.now-n.leadLease.sent <= standby.MaxLeaseAge:
+		n.claimEarly()
+	}
+}
+
+// claimPause spaces the candidates for a leadership that nobody has.
+func (n *Node) claimPause() Time {
+	pause := Time(n.rank()) * 400 * time.Millisecond
+	if n.isolated() {
+		pause += 5 * second // let one that reaches more of the world have it
+	}
+	return pause
+}
+
+// newClaim is the record of a claim of ours.
+func (n *Node) newClaim(streak int) *wire.Leader {
+	claim := &wire.Leader{Node: n.cfg.Self, Life: n.cfg.Life}
+	if n.writesStandby() {
+		claim.Fenced, claim.Streak = n.cfg.EarlyTakeover, streak
+	}
+	return claim
+}
+
+// sendClaim claims the leadership, conditional on the revision of its key; 0 means that
+// nobody has it.
+func (n *Node) sendClaim(claim *wire.Leader, rev uint64, more ...Write) {
+	n.nextClaimAt = n.now + 500*time.Millisecond
+	n.claimLease = n.leadLease.id
+	writes := []Write{{Key: wire.LeaderKey, Value: claim, Lease: n.leadLease.id}}
+	n.commit(Vital, []Cond{{wire.LeaderKey, rev}}, append(writes, more...), func(c Committed) {
+		switch c.Outcome {
+		case BadLease:
+			n.leadLease.id, n.leadLease.next = 0, n.now
+		case OK:
+			n.acceptedTerm, n.acceptedAt = c.Rev, n.now
+		}
+	})
+}
+
+// unseenClaimPatience is how long a claim may be ours before our copy shows it.
+const unseenClaimPatience = 2 * second
+
+// dropUnseenClaim gives up a claim that our copy does not show: our watch hangs. Kept
+// alive by our renewals, it would leave the site without a leader that decides.
+func (n *Node) dropUnseenClaim() {
+	if n.acceptedTerm <= n.rev || n.now-n.acceptedAt < unseenClaimPatience || !n.cfg.EarlyTakeover {
+		return
+	}
+	term := n.acceptedTerm
+	n.acceptedTerm, n.nextClaimAt = 0, n.now+10*second
+	n.log(LogInfo, "giving the leadership up: the watch does not show it", "term", term)
+	n.commit(Vital, []Cond{{wire.LeaderKey, term}}, []Write{{Key: wire.LeaderKey}}, func(Committed) {})
+}
+
+// isolated tells whether we can't reach the cloud, or no other controller.
+// Refusals don't count: they are the same for everyone.
+func (n *Node) isolated() bool {
+	if n.cloudBadSince > 0 && n.now-n.cloudBadSince > 4*second {
+		return true
+	}
+	if len(n.cfg.Members) < 2 {
+		return false
+	}
+	for _, p := range n.peers {
+		if !p.byStore && n.now-p.at < 6*second {
+			return false
+		}
+	}
+	return n.now > 6*second
+}
+
+// resign gives the leadership up when we are cut off but the state service
+// still serves us, and some other controller is there to take it that is not
+// cut off itself: when all are, nobody would do better.
+func (n *Node) resign() bool {
+	if !n.isolated() {
+		n.cutOffSince = 0
+		return false
+	}
+	if n.cutOffSince == 0 {
+		n.cutOffSince = n.now
+	}
+	// The peers need a moment to notice, and to tell, that they are cut too.
+	if n.now < n.nextResignAt || n.now-n.leader.since < 5*second || n.now-n.cutOffSince < n.cfg.Report+2*second {
+		return false
+	}
+	for _, p := range n.peers {
+		if n.now-p.at < 8*second && p.msg.StoreOK && !p.msg.CutOff {
+			n.nextResignAt = n.now + 10*second
+			n.log(LogInfo, "giving the leadership up: cut off")
+			// From here on we don't lead, even if our watch hangs and never
+			// shows it; only a refusal says that we still do.
+			n.abandonedTerm = n.leader.rev
+			n.commit(Vital, []Cond{{wire.LeaderKey, n.leader.rev}}, []Write{{Key: wire.LeaderKey}}, func(c Committed) {
+				if c.Outcome == Refused {
+					n.abandonedTerm = 0
+				}
+			})
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -43,7 +43,7 @@
 		if l.waiting || n.now < l.next {
 			continue
 		}
-		if l == &n.leadLease && n.loaded && !n.leads() && n.leader.rec != nil && n.leader.rec.Node != n.cfg.Self {
+		if l == &n.leadLease && n.loaded && !n.leads() && n.leader.rec != nil && n.leader.rec.Node != n.cfg.Self && !n.wantsLeadLease() {
 			// While another leads there is nothing to claim; requests are
 			// scarce. By the time it is needed the old one may have ended.
 			if n.now-l.sent > l.ttl/2 {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -63,27 +63,31 @@
 	result()
 }
 
-func (Commit) effect()  {}
-func (Read) effect()    {}
-func (Lease) effect()   {}
-func (Cloud) effect()   {}
-func (Direct) effect()  {}
-func (Send) effect()    {}
-func (Forward) effect() {}
-func (Reply) effect()   {}
-func (Log) effect()     {}
-
-func (Tick) input()        {}
-func (Reported) input()    {}
-func (UserRequest) input() {}
-func (Forwarded) input()   {}
-func (Committed) input()   {}
-func (Directed) input()    {}
-func (GotJob) input()      {}
-func (Leased) input()      {}
-func (Changes) input()     {}
-func (Clouded) input()     {}
-func (Gossiped) input()    {}
+func (Commit) effect()    {}
+func (Read) effect()      {}
+func (Lease) effect()     {}
+func (Cloud) effect()     {}
+func (Direct) effect()    {}
+func (Send) effect()      {}
+func (Heartbeat) effect() {}
+func (Forward) effect()   {}
+func (Reply) effect()     {}
+func (Log) effect()       {}
+
+func (Tick) input()              {}
+func (Reported) input()          {}
+func (UserRequest) input()       {}
+func (Forwarded) input()         {}
+func (Committed) input()         {}
+func (Directed) input()          {}
+func (GotJob) input()            {}
+func (Leased) input()            {}
+func (Changes) input()           {}
+func (Clouded) input()           {}
+func (Gossiped) input()          {}
+func (HeartbeatReceived) input() {}
+func (Disconnected) input()      {}
+func (StatusRequest) input()     {}
 
 func (Committed) result() {}
 func (Directed) result()  {}
@@ -132,6 +136,12 @@
 		To  string
 		Msg *wire.Gossip
 	}
+	// Heartbeat tells a peer that we lead. A newer one takes the place of one that has
+	// not been sent.
+	Heartbeat struct {
+		To  string
+		Msg *wire.Heartbeat
+	}
 	// Forward hands a user's request to a peer; the answer comes as Forwarded.
 	Forward struct {
 		Req  uint64
@@ -220,6 +230,12 @@
 	}
 	// Gossiped is a message from a peer.
 	Gossiped struct{ Msg *wire.Gossip }
+	// HeartbeatReceived is a leader's heartbeat.
+	HeartbeatReceived struct{ Msg *wire.Heartbeat }
+	// Disconnected says that the connection to a peer has broken.
+	Disconnected struct{ Peer string }
+	// StatusRequest asks who leads and who stands by; Reply has a wire.StandbyStatus.
+	StatusRequest struct{ Req uint64 }
 )
 
 // Event is a change of a key; Value is nil when it was dropped.
--- a/internal/core/pause.go
+++ b/internal/core/pause.go
@@ -23,6 +23,8 @@
 		p.at += gap
 	}
 	n.storeAt += gap
-	n.cloudBad, n.cutSince = 0, 0
+	n.cloudBadSince, n.cutOffSince = 0, 0
+	n.standby.follower.Resumed(n.now)
+	n.standby.fence.Resumed(n.now)
 	n.leader.cloud.idleFrom = map[string]Time{}
 }
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -24,6 +24,7 @@
 	n.rev = max(n.rev, c.Rev)
 	n.leader.dirty = true
 	n.settleChecks()
+	n.standby.fence.Settle(n.rev)
 	n.heldAt = 0
 	n.owner.settle(n)
 	n.leader.batch.settle(n)
@@ -111,6 +112,8 @@
 		}
 	case *wire.Leader:
 		n.putLeader(v, e.Rev)
+	case *wire.Takeovers:
+		n.putTakeovers(v)
 	case *wire.Account:
 		n.putAccount(wire.AccountTeam(e.Key), v, e.Rev)
 	case *wire.Gang:
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -10,7 +10,7 @@
 	n.retireIdle(p, idle)
 	n.retireUnfit()
 	c := &n.leader.cloud
-	if c.giving || n.now < c.returnAt {
+	if c.giving || n.now < c.returnAt || n.cloudRight() == 0 {
 		return
 	}
 	if give := n.returnable(); len(give) > 0 {
@@ -96,14 +96,14 @@
 func (n *Node) returnMachines(give []string) {
 	c := &n.leader.cloud
 	c.giving = true
-	term := n.leader.rev
+	tenure := n.leader.tenure
 	n.cloudCall(Cloud{Return: give}, func(r Clouded) {
 		if r.Outcome == OK {
 			for _, name := range give {
 				n.hostOf(name).returned = true
 			}
 		}
-		if n.leader.rev != term {
+		if n.leader.tenure != tenure {
 			return
 		}
 		c.giving = false
--- /dev/null
+++ b/internal/core/takeover_test.go
@@ -0,0 +1,301 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"micaport/internal/standby"
+	"micaport/internal/wire"
+)
+
+// member is a controller among three with a state service that answers when told to.
+type member struct {
+	t       *testing.T
+	n       *Node
+	now     Time
+	rev     uint64
+	commits []Commit // not yet answered
+	clouds  []Cloud
+}
+
+// newMember is n1 of n0, n1 and n2, which replaces leaders early; all read the newest format.
+func newMember(t *testing.T) *member {
+	t.Helper()
+	m := &member{t: t, rev: 10, n: New(Config{Self: "n1", Life: "y", Zone: "a", Members: []Member{{"n0", "a"}, {"n1", "a"}, {"n2", "a"}}, Zones: []string{"a"},
+		Teams: []Team{{Name: "t"}}, Report: 8 * second, Lease: 34 * second, Validity: 28 * second, LeaderTTL: 5 * second, EarlyTakeover: true,
+		TxnOps: 12, ValueBytes: 8192, BatchPuts: 8, WallMS: func() int64 { return 7 }})}
+	var events []Event
+	for _, label := range []string{"n0", "n1", "n2"} {
+		events = append(events, Event{Key: wire.FormatPrefix + label, Rev: 3, Value: &wire.SupportedFormat{Format: wire.Format}})
+	}
+	m.step(Changes{Reset: true, Rev: m.rev, Events: events})
+	return m
+}
+
+func (m *member) step(in Input) {
+	for _, e := range m.n.Step(m.now, in) {
+		switch x := e.(type) {
+		case Lease:
+			m.step(Leased{ID: x.ID, Outcome: OK, Lease: max(x.Lease, 7)})
+		case Commit:
+			m.commits = append(m.commits, x)
+		case Cloud:
+			m.clouds = append(m.clouds, x)
+		}
+	}
+}
+
+// wait lets time pass in which n0, if it leads with a term, sends heartbeats.
+func (m *member) wait(d Time, term uint64) {
+	for end := m.now + d; m.now < end; {
+		m.now += 50 * time.Millisecond
+		if term > 0 && m.now%(500*time.Millisecond) == 0 {
+			m.step(HeartbeatReceived{Msg: &wire.Heartbeat{From: "n0", Life: "x", Term: term, Standby: "n1"}})
+		}
+		m.step(Tick{})
+	}
+}
+
+// lead lets the records show that a controller leads, and gives the term.
+func (m *member) lead(node, life string, fenced bool, streak int) uint64 {
+	m.rev++
+	m.step(Changes{Rev: m.rev, Events: []Event{{Key: wire.LeaderKey, Rev: m.rev, Value: &wire.Leader{Node: node, Life: life, Fenced: fenced, Streak: streak}}}})
+	return m.rev
+}
+
+// suspect lets n2 say that it suspects the leader of a term.
+func (m *member) suspect(term uint64) {
+	m.step(Gossiped{Msg: &wire.Gossip{From: "n2", Life: "z", UpS: m.now.Seconds(), StoreOK: true, Leader: &wire.LeaderView{Term: term, Suspected: true}}})
+}
+
+// take removes the commits that are conditional on the leader key and gives them.
+func (m *member) take() (taken []Commit) {
+	m.commits = slices.DeleteFunc(m.commits, func(c Commit) bool {
+		is := slices.ContainsFunc(c.If, func(c Cond) bool { return c.Key == wire.LeaderKey })
+		if is {
+			taken = append(taken, c)
+		}
+		return is
+	})
+	return taken
+}
+
+// A claim replaces the leader's key on its revision and tells of the evidence, in one
+// transaction; without a peer that suspects the leader as well there is none.
+func TestEarlyClaim(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	m.wait(2500*time.Millisecond, 0)
+	if claims := m.take(); len(claims) > 0 {
+		t.Fatalf("claimed alone: %+v", claims)
+	}
+	m.suspect(term)
+	m.wait(300*time.Millisecond, 0)
+	claims := m.take()
+	if len(claims) != 1 || !slices.Equal(claims[0].If, []Cond{{wire.LeaderKey, term}}) || len(claims[0].Writes) != 2 {
+		t.Fatalf("claims %+v", claims)
+	}
+	claim, record := claims[0].Writes[0].Value.(*wire.Leader), claims[0].Writes[1].Value.(*wire.Takeovers)
+	if *claim != (wire.Leader{Node: "n1", Life: "y", Fenced: true, Streak: 1}) || claims[0].Writes[0].Lease != 7 {
+		t.Errorf("claim %+v", claim)
+	}
+	if got := record.List[0]; got.From != "n0" || got.Replaced != term || got.Suspecting != 2 || got.Members != 3 || got.SilenceMS < 1750 || len(got.StagesMS) != 2 {
+		t.Errorf("record %+v", got)
+	}
+}
+
+// A claim needs a lease that was renewed just now: else the leader's last call to the
+// cloud could come after the claim's own lease has ended.
+func TestEarlyClaimNeedsFreshLease(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	m.n.leadLease.waiting = true // a renewal without an answer
+	m.wait(2500*time.Millisecond, 0)
+	m.suspect(term)
+	m.wait(300*time.Millisecond, 0)
+	if claims := m.take(); len(claims) > 0 {
+		t.Errorf("claimed under a lease renewed %v ago", m.now-m.n.leadLease.sent)
+	}
+}
+
+// takenOver is a member that has just replaced n0, and the proof that it has sent.
+func takenOver(t *testing.T) (*member, Commit) {
+	t.Helper()
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	m.wait(2500*time.Millisecond, 0)
+	m.suspect(term)
+	m.wait(100*time.Millisecond, 0)
+	if len(m.take()) == 0 {
+		t.Fatal("not claimed")
+	}
+	m.n.takeTypes([]wire.Flavor{{Name: "g", Cores: 8, Cards: 1, MemoryGB: 64, FetchGBs: 1, Price: 1, BootS: 10, Zones: []string{"a"}}})
+	m.lead("n1", "y", true, 1)
+	proofs := m.take()
+	if len(proofs) != 1 || len(proofs[0].Writes) != 0 || !m.n.leads() {
+		t.Fatalf("leads %v, proofs %+v", m.n.leads(), proofs)
+	}
+	return m, proofs[0]
+}
+
+// submitOne lets a job be accepted that only a hire can serve.
+func (m *member) submitOne() {
+	m.rev++
+	job := lowJob(wire.Live)
+	job.Spec.Urgency = "high"
+	m.step(Changes{Rev: m.rev, Events: []Event{{Key: wire.JobKey("wk-000001"), Rev: m.rev, Value: job}}})
+}
+
+// calls gives the hires and returns that the cloud was asked for.
+func (m *member) calls() int {
+	return len(slices.DeleteFunc(slices.Clone(m.clouds), func(c Cloud) bool { return c.Hire == nil && c.Return == nil }))
+}
+
+// A new leader makes no pass before its claim is proven, and leaves the cloud alone until
+// the replaced leader's last proof has run out.
+func TestNewLeaderWaits(t *testing.T) {
+	m, proof := takenOver(t)
+	m.submitOne()
+	m.wait(second, 0)
+	if m.n.standby.settled {
+		t.Error("a pass was made without proof")
+	}
+	m.step(Committed{ID: proof.ID, Outcome: OK, Rev: m.rev})
+	m.wait(second, 0)
+	if !m.n.standby.settled {
+		t.Error("no pass was made with a proof")
+	}
+	for m.now < m.n.standby.earlySeenAt+standby.CloudWait(5*second) {
+		if m.calls() > 0 {
+			t.Fatalf("the cloud was called %v after the claim", m.now-m.n.standby.earlySeenAt)
+		}
+		m.wait(50*time.Millisecond, 0)
+		for _, c := range m.take() {
+			m.step(Committed{ID: c.ID, Outcome: OK, Rev: m.rev})
+		}
+	}
+	m.wait(2*second, 0)
+	if m.calls() == 0 {
+		t.Error("the cloud was not called")
+	}
+	for _, c := range m.clouds {
+		if c.Hire != nil && c.Within > standby.ProofValidity(5*second) {
+			t.Errorf("a call may be sent for %v", c.Within)
+		}
+	}
+}
+
+// A leader whose proof finds another claim knows that it has been replaced, though its
+// watch hangs.
+func TestReplacedLeaderLearnsByItsProof(t *testing.T) {
+	m, proof := takenOver(t)
+	m.step(Committed{ID: proof.ID, Outcome: Conflict, Rev: m.rev + 5, Failed: []string{wire.LeaderKey}})
+	if m.n.leads() {
+		t.Error("it still leads")
+	}
+}
+
+// While a commit of its owner's role may yet be carried out, a new leader decides nothing.
+func TestNewLeaderSettlesItsOwnCommits(t *testing.T) {
+	m, proof := takenOver(t)
+	m.n.owner.active, m.n.owner.outcomeUnknown = true, true
+	m.step(Committed{ID: proof.ID, Outcome: OK, Rev: m.rev})
+	if m.n.mayDecide() {
+		t.Error("it decides")
+	}
+	m.n.owner.active = false
+	if !m.n.mayDecide() {
+		t.Error("it does not decide when the commit is settled")
+	}
+}
+
+// A leader that stood still decides nothing until a proof sent afterwards has settled.
+func TestPauseVoidsProofs(t *testing.T) {
+	m, proof := takenOver(t)
+	m.step(Committed{ID: proof.ID, Outcome: OK, Rev: m.rev})
+	if !m.n.mayDecide() {
+		t.Fatal("not proven")
+	}
+	m.wait(1200*time.Millisecond, 0)
+	late := m.take()
+	m.now += 3 * second
+	m.step(Tick{})
+	for _, c := range late { // sent before the pause, answered after it
+		m.step(Committed{ID: c.ID, Outcome: OK, Rev: m.rev})
+	}
+	if m.n.mayDecide() || m.n.cloudRight() > 0 {
+		t.Error("a proof outlived the pause")
+	}
+}
+
+// A claim that the watch does not show is given up: renewed on, it would leave the site
+// without a leader that decides.
+func TestUnseenClaimIsDropped(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	m.wait(2500*time.Millisecond, 0)
+	m.suspect(term)
+	m.wait(100*time.Millisecond, 0)
+	claims := m.take()
+	m.step(Committed{ID: claims[0].ID, Outcome: OK, Rev: m.rev + 9})
+	m.wait(3*second, 0)
+	for _, c := range m.take() {
+		if slices.Equal(c.If, []Cond{{wire.LeaderKey, m.rev + 9}}) && len(c.Writes) == 1 && c.Writes[0].Value == nil {
+			return
+		}
+	}
+	t.Error("the claim is kept")
+}
+
+// A leader that claims anew to be fenced goes on with what it knows: machines on their way
+// are not hired again.
+func TestFencingKeepsWhatTheLeaderKnows(t *testing.T) {
+	m := newMember(t)
+	m.wait(2*second, 0) // it has a lease and claims
+	term := m.lead("n1", "y", false, 0)
+	m.n.leader.cloud.booting["vm-1"] = &bootingHost{}
+	m.wait(500*time.Millisecond, 0)
+	claims := m.take()
+	last := claims[len(claims)-1]
+	if !slices.Equal(last.If, []Cond{{wire.LeaderKey, term}}) || !last.Writes[0].Value.(*wire.Leader).Fenced {
+		t.Fatalf("claims %+v", claims)
+	}
+	tenure := m.n.leader.tenure
+	m.lead("n1", "y", true, 0)
+	if len(m.n.leader.cloud.booting) != 1 || m.n.leader.tenure != tenure || !m.n.fenced() {
+		t.Error("the leader began anew")
+	}
+}
+
+// A takeover that is listed when a controller starts may have been made a moment ago.
+func TestListedTakeoverClosesTheCloud(t *testing.T) {
+	m := newMember(t)
+	if m.n.cloudOpensAt() != 0 {
+		t.Fatal("the cloud is closed without a takeover")
+	}
+	fresh := New(m.n.cfg)
+	fresh.Step(second, Changes{Reset: true, Rev: 5, Events: []Event{{Key: wire.TakeoversKey, Rev: 4, Value: &wire.Takeovers{}}}})
+	if want := second + standby.CloudWait(5*second); fresh.cloudOpensAt() != want {
+		t.Errorf("it opens at %v, not %v", fresh.cloudOpensAt(), want)
+	}
+}
+
+// Whoever asks is told who leads, who stands by and how far the copy goes.
+func TestStandbyStatus(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 2)
+	m.wait(2*second, term)
+	m.wait(400*time.Millisecond, 0)
+	out := m.n.Step(m.now, StatusRequest{Req: 5})
+	got := out[0].(Reply).Body.(wire.StandbyStatus)
+	want := wire.StandbyStatus{Controller: "n1", Leader: "n0", Term: term, Fenced: true, Streak: 2, Standby: "n1", Revision: m.rev, SilenceMS: 400,
+		Early: true, Agreed: wire.Format, Served: true, PauseMS: 10000}
+	if got != want {
+		t.Errorf("%+v, not %+v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/leadership/print.go
@@ -0,0 +1,116 @@
+package leadership
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"micaport/internal/wire"
+)
+
+// PrintJSON writes an overview as JSON.
+func PrintJSON(out io.Writer, o *Overview) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(o)
+}
+
+// PrintTable writes an overview as two tables, of the controllers and of the takeovers.
+func PrintTable(out io.Writer, o *Overview) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CONTROLLER\tROLE\tLEADER\tTERM\tLAG\tSILENCE\tTAKEOVER\tFORMAT\tFAULT")
+	for i := range o.Controllers {
+		c := &o.Controllers[i]
+		if c.Fault != "" {
+			fmt.Fprintf(table, "%s\t?\t\t\t\t\t\t\t%s\n", c.Controller, c.Fault)
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%s\n", c.Controller, c.role(), c.leader(), c.Term, c.Lag,
+			c.silence(), c.setting(), c.Agreed, c.fault())
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if o.Fault != "" {
+		fmt.Fprintf(out, "\nthe last takeovers can't be read: %s\n", o.Fault)
+		return nil
+	}
+	if len(o.Takeovers) == 0 {
+		fmt.Fprintln(out, "\nno takeovers")
+		return nil
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(table, "TAKEOVER\tFROM\tTO\tSILENCE\tSUSPECTED BY\tSUSPECTED\tCLAIMED\tSEEN\tCAUGHT UP\tDECIDED")
+	for i := range o.Takeovers {
+		printTakeover(table, &o.Takeovers[i])
+	}
+	return table.Flush()
+}
+
+// printTakeover writes one line, with the times of the stages since the replaced leader
+// was last heard.
+func printTakeover(out io.Writer, t *wire.Takeover) {
+	silence := fmt.Sprintf("%d ms", t.SilenceMS)
+	if t.Broken {
+		silence += ", connection broken"
+	}
+	const stages = 5
+	times := make([]string, stages)
+	for i := range times {
+		times[i] = "-"
+		if i < len(t.StagesMS) {
+			times[i] = fmt.Sprintf("%d ms", t.StagesMS[i])
+		}
+	}
+	fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d of %d, %d hear it\t%s\n", time.UnixMilli(t.At).UTC().Format(time.RFC3339), t.From, t.To, silence,
+		t.Suspecting, t.Members, t.Hearing, strings.Join(times, "\t"))
+}
+
+func (c *Controller) role() string {
+	switch c.Controller {
+	case c.Leader:
+		return "leads"
+	case c.Standby:
+		return "stands by"
+	}
+	return "follows"
+}
+
+func (c *Controller) leader() string {
+	if c.Leader == "" {
+		return "-"
+	}
+	return c.Leader
+}
+
+// silence is how long the leader has not been heard, where heartbeats tell.
+func (c *Controller) silence() string {
+	if !c.Fenced || c.Controller == c.Leader {
+		return "-"
+	}
+	text := fmt.Sprintf("%d ms", c.SilenceMS)
+	if c.Suspected {
+		text += fmt.Sprintf(", suspected by %d", c.Suspecting)
+	}
+	return text
+}
+
+func (c *Controller) setting() string {
+	switch {
+	case !c.Early:
+		return "lease"
+	case c.Leader != "" && !c.Fenced:
+		return "early, the leader is not fenced"
+	}
+	return "early"
+}
+
+func (c *Controller) fault() string {
+	if !c.Served {
+		return "refused by the state service"
+	}
+	return ""
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	n.cloud = cloud.New(s.External.Cloud, d.Cloud.RPS, n.post)
 	n.orders = worker.NewClient(n.post)
 	for _, p := range s.Peers {
-		n.links[p.Label] = peer.Dial(p.Address)
+		n.links[p.Label] = peer.Dial(p.Address, func() { n.post(core.Disconnected{Peer: p.Label}) })
 	}
 	r := httprouter.New()
 	askUser, askHost := n.asker(n.users), n.asker(n.hosts)
@@ -133,7 +133,7 @@
 		Report:  config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
 		GangWait:  config.Seconds(d.Workers.GangWaitS),
 		Validity:  s.Validity(),
-		LeaderTTL: 5 * time.Second,
+		LeaderTTL: config.LeaderLease,
 		TxnOps:    limits.TxnOps, ValueBytes: limits.ValueBytes, ValueNow: int(d.State.ValueKB * 1024),
 		// A transaction needs as many of the puts allowed a second at once; a
 		// large one would wait behind every small one.
@@ -143,7 +143,8 @@
 		CloudRPS:  d.Cloud.RPS, StateRPS: limits.RPS, WriteRPS: d.State.WriteRPS, NextWriteRPS: limits.WriteRPS,
 		IdleReturn: config.Seconds(op.IdleReturnS), Spares: op.SpareMachines,
 		MaxMachines: op.MaxMachines, Preempt: op.Preempt, Admission: admissions[op.Admission],
-		WallMS: func() int64 { return time.Now().UnixMilli() },
+		EarlyTakeover: op.Takeover == config.TakeoverEarly,
+		WallMS:        func() int64 { return time.Now().UnixMilli() },
 	}
 	for _, p := range s.Peers {
 		c.Members = append(c.Members, core.Member{Label: p.Label, Zone: p.Zone})
@@ -250,6 +251,10 @@
 		if l := n.links[x.To]; l != nil {
 			l.Send(x.Msg)
 		}
+	case core.Heartbeat:
+		if l := n.links[x.To]; l != nil {
+			l.SendHeartbeat(x.Msg)
+		}
 	case core.Forward:
 		n.forward(x)
 	case core.Reply:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,13 +27,31 @@
 	return nil
 }
 
+// Heartbeat takes a leader's heartbeat.
+func (s *Service) Heartbeat(m *wire.Heartbeat, _ *Ack) error {
+	s.post(core.HeartbeatReceived{Msg: m})
+	return nil
+}
+
+// Standby tells operators who leads and who stands by.
+func (s *Service) Standby(_ Ack, status *wire.StandbyStatus) error {
+	r, ok := s.ask(func(req uint64) core.Input { return core.StatusRequest{Req: req} })
+	if !ok {
+		return errOverloaded
+	}
+	*status = r.Body.(wire.StandbyStatus)
+	return nil
+}
+
+var errOverloaded = errors.New("overloaded")
+
 // User serves a request that a peer could not serve itself.
 func (s *Service) User(c *wire.UserCall, a *wire.UserAnswer) error {
 	r, ok := s.ask(func(req uint64) core.Input {
 		return core.UserRequest{Req: req, Kind: c.Kind, Ref: c.Ref, Body: c.Body, Forwarded: true}
 	})
 	if !ok {
-		return errors.New("overloaded")
+		return errOverloaded
 	}
 	b, err := wire.Encode(r.Body)
 	if err != nil {
@@ -77,36 +95,61 @@
 // second, and a controller that is refused by the state service forwards all that it gets.
 const forwardQueue = 4096
 
-// Link is the way to one peer. Messages wait in a mailbox of one, where a
+// Link is the way to one peer. Messages and heartbeats wait in mailboxes of one, where a
 // newer message replaces an older: each says all that there is to say.
 type Link struct {
-	addr string
-	box  chan *wire.Gossip
-	jobs chan func(*rpc.Client)
+	addr       string
+	broken     func() // called when the connection has broken
+	box        chan *wire.Gossip
+	heartbeats chan *wire.Heartbeat
+	jobs       chan func(*rpc.Client)
 }
 
-// Dial starts the actor that keeps the connection.
-func Dial(addr string) *Link {
-	l := &Link{addr: addr, box: make(chan *wire.Gossip, 1), jobs: make(chan func(*rpc.Client), forwardQueue)}
+// Dial starts the actor that keeps the connection; broken is called, in a goroutine of
+// its own, whenever it breaks or can't be made.
+func Dial(addr string, broken func()) *Link {
+	l := &Link{addr: addr, broken: broken, box: make(chan *wire.Gossip, 1), heartbeats: make(chan *wire.Heartbeat, 1),
+		jobs: make(chan func(*rpc.Client), forwardQueue)}
 	go l.run()
 	return l
 }
 
-// Send leaves a message for the peer.
-func (l *Link) Send(m *wire.Gossip) {
+// replace leaves a message in a mailbox of one, in place of an older one.
+func replace[M any](box chan M, m M) {
 	for {
 		select {
-		case l.box <- m:
+		case box <- m:
 			return
 		default:
 		}
 		select {
-		case <-l.box:
+		case <-box:
 		default:
 		}
 	}
 }
 
+// Send leaves a message for the peer.
+func (l *Link) Send(m *wire.Gossip) { replace(l.box, m) }
+
+// SendHeartbeat leaves a heartbeat for the peer.
+func (l *Link) SendHeartbeat(m *wire.Heartbeat) { replace(l.heartbeats, m) }
+
+// watched is a connection that tells when it has broken.
+type watched struct {
+	net.Conn
+	broken func()
+}
+
+// Read reports the first failure; the client reads all the time, and ends with it.
+func (c watched) Read(b []byte) (int, error) {
+	read, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.broken()
+	}
+	return read, err
+}
+
 // Ask forwards a user's request; done gets status 0 when no answer came.
 func (l *Link) Ask(c wire.UserCall, done func(wire.UserAnswer)) {
 	job := func(cl *rpc.Client) {
@@ -139,6 +182,29 @@
 	}
 }
 
+// begin sends a call whose answer nobody waits for. It tells whether the connection took it.
+func begin(cl *rpc.Client, method string, args any) bool {
+	c := cl.Go(method, args, &Ack{}, make(chan *rpc.Call, 1))
+	select {
+	case <-c.Done:
+		return c.Error == nil
+	default:
+		return true
+	}
+}
+
+// AskStandby asks the controller at an address who leads and who stands by.
+func AskStandby(address string, patience time.Duration) (wire.StandbyStatus, error) {
+	var status wire.StandbyStatus
+	connection, err := net.DialTimeout("tcp", address, patience)
+	if err != nil {
+		return status, err
+	}
+	cl := rpc.NewClient(connection)
+	defer cl.Close()
+	return status, call(cl, "Peer.Standby", &Ack{}, &status, patience)
+}
+
 func (l *Link) run() {
 	var cl *rpc.Client
 	var retry time.Time
@@ -149,12 +215,19 @@
 		c, err := net.DialTimeout("tcp", l.addr, time.Second)
 		if err != nil {
 			retry = time.Now().Add(time.Second)
+			go l.broken()
 			return
 		}
-		cl = rpc.NewClient(c)
+		cl = rpc.NewClient(watched{c, l.broken})
 	}
 	for {
 		select {
+		case m := <-l.heartbeats:
+			// Not waited for: a heartbeat that is late is followed by the next.
+			if connect(); cl != nil && !begin(cl, "Peer.Heartbeat", m) {
+				cl.Close()
+				cl = nil
+			}
 		case m := <-l.box:
 			if connect(); cl == nil {
 				continue
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 		}
 		return core.Reply{Req: 5, Status: 200, Body: wire.JobStatus{Ref: u.Ref, Status: "done"}}, true
 	})
-	link := Dial(l.Addr().String())
+	link := Dial(l.Addr().String(), func() {})
 	link.Send(&wire.Gossip{From: "n0", Hosts: []wire.HostInfo{{Name: "vm-1", Images: []int{7}}}, Holds: []wire.Hold{{Ref: "wk-1", Attempt: 3, OK: true}}})
 	select {
 	case m := <-heard:
@@ -51,7 +51,7 @@
 	addr := l.Addr().String()
 	l.Close()
 	got := make(chan wire.UserAnswer, 1)
-	Dial(addr).Ask(wire.UserCall{Kind: wire.Poll, Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
+	Dial(addr, func() {}).Ask(wire.UserCall{Kind: wire.Poll, Ref: "wk-1"}, func(a wire.UserAnswer) { got <- a })
 	select {
 	case a := <-got:
 		if a.Status != 0 {
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// format5 spells out the records in testdata/format5, which the first version with early
+// takeovers writes.
+func format5() map[string]any {
+	return map[string]any{
+		"leader-fenced": &Leader{Node: "stanok-0", Life: "7-98-1", Fenced: true},
+		"leader-early":  &Leader{Node: "stanok-1", Life: "8-11-4", Fenced: true, Streak: 2},
+		"takeovers": &Takeovers{List: []Takeover{
+			{From: "stanok-0", To: "stanok-1", Replaced: 412, At: 1764640000123, SilenceMS: 1010, Broken: true, Suspecting: 2, Members: 3, StagesMS: []int64{1002, 1010, 1040, 1052, 1740}},
+			{From: "stanok-1", To: "stanok-2", Replaced: 530, At: 1764640031456, SilenceMS: 1810, Suspecting: 3, Hearing: 1, Members: 5, StagesMS: []int64{1760, 1810}}}},
+	}
+}
+
+// Records of format 5 are read and written byte for byte as by the first version that has
+// them; a leader that is not fenced is written as in format 1.
+func TestFormat5(t *testing.T) {
+	for name, want := range format5() {
+		checkRecord(t, name, fixture(t, "format5/"+name), want)
+	}
+}
+
 // A damaged account is told from an absent one: it may hold shares.
 func TestDamagedAccountIsNotSkipped(t *testing.T) {
 	for _, raw := range [][]byte{{0xc1}, {0x81, 0xa1, 'l', 0x07}, nil} {
@@ -224,7 +244,7 @@
 // The version in production skips the keys that it does not know, as DecodeRecord
 // has always done; none of the new ones looks like one that it does.
 func TestNewKeysAreNoneOfFormat1(t *testing.T) {
-	for _, key := range []string{ContinuationKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
+	for _, key := range []string{ContinuationKey("wk-000412", 1), FormatPrefix + "stanok-0", TakeoversKey} {
 		for _, old := range []string{JobPrefix, PartPrefix, GangPrefix, MailboxPrefix, ImagePrefix, LeaderKey, TypesKey} {
 			if strings.HasPrefix(key, old) {
 				t.Errorf("%s begins like %s", key, old)
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -88,6 +88,7 @@
 	Retire   []string // leader: machines to be emptied for return
 	Returned []string // leader: machines the cloud has confirmed gone
 	Strays   []string // machines that came here though their owners miss them
+	Leader   *LeaderView
 }
 
 // RequestKind says what a user asks for.
--- a/internal/wire/production_test.go
+++ b/internal/wire/production_test.go
@@ -109,7 +109,7 @@
 		input.WriteString(keys[name] + " " + text + "\n")
 		want = append(want, text)
 	}
-	for _, key := range []string{ContinuationKey("wk-000412", 1), FormatPrefix + "stanok-0"} {
+	for _, key := range []string{ContinuationKey("wk-000412", 1), FormatPrefix + "stanok-0", TakeoversKey} {
 		input.WriteString(key + " 80\n")
 		want = append(want, "skipped")
 	}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -26,8 +26,11 @@
 	NeedsPrefix = "m/n/"
 	// Since format 4:
 	AccountPrefix = "m/q/"
-	LeaderKey     = "m/leader"
-	TypesKey      = "m/types"
+	// Since format 5:
+	TakeoversKey = "m/takeovers"
+
+	LeaderKey = "m/leader"
+	TypesKey  = "m/types"
 )
 
 // Formats of the records. What a format adds is written only once every controller
@@ -36,7 +39,8 @@
 	FormatChains    = 2 // jobs that wait on others; further keys for active tasks
 	FormatLongNeeds = 3 // further keys for the jobs that a job waits on
 	FormatAccounts  = 4 // accounts of teams, and tasks that owners have admitted
-	Format          = FormatAccounts
+	FormatStandby   = 5 // leaders that may be replaced before their lease ends, heartbeats, takeovers
+	Format          = FormatStandby
 )
 
 // Record is a value that the controllers keep in the state service: one of the types
@@ -54,6 +58,7 @@
 func (*Gossip) record()          {}
 func (*SupportedFormat) record() {}
 func (*Account) record()         {}
+func (*Takeovers) record()       {}
 
 // JobState is the state of a job's record.
 type JobState int
@@ -122,10 +127,16 @@
 	Life  string `msgpack:"b"` // the claiming process, told apart from its earlier lives
 }
 
-// Leader is the claim of leadership.
+// Leader is the claim of leadership. Its term is the revision of the claim.
 type Leader struct {
 	Node string `msgpack:"o"`
 	Life string `msgpack:"b"`
+	// Fenced says that this leader calls the cloud only on proofs of this claim, so that
+	// it may be replaced before its lease ends; format 5.
+	Fenced bool `msgpack:"f,omitempty"`
+	// Streak counts the claims, this one included, that each replaced a live leader soon
+	// after the last; 0 for a claim that waited for the lease; format 5.
+	Streak int `msgpack:"n,omitempty"`
 }
 
 // GangState is the state of a gang's record.
@@ -275,6 +286,8 @@
 		return decodeAccount(raw), nil
 	case key == LeaderKey:
 		v = new(Leader)
+	case key == TakeoversKey:
+		v = new(Takeovers)
 	case key == TypesKey:
 		v = new(Types)
 	default:
--- a/internal/world/loopback.go
+++ b/internal/world/loopback.go
@@ -205,6 +205,7 @@
 		return
 	}
 	l.troubled(d)
+	l.takeovers.failing(ix)
 	life := n.life
 	l.signal(ix, syscall.SIGSTOP)
 	l.after(d, func() {
--- a/internal/world/loopback_services.go
+++ b/internal/world/loopback_services.go
@@ -206,8 +206,11 @@
 	call := func(w http.ResponseWriter, q core.Cloud) {
 		var r core.Clouded
 		l.call(func() {
-			if (q.Hire != nil || q.Return != nil) && l.staleLeader(n) {
-				l.broke("stale_leader", "%s deals with the cloud", n.label)
+			if q.Hire != nil || q.Return != nil {
+				if l.staleLeader(n) {
+					l.broke("stale_leader", "%s deals with the cloud", n.label)
+				}
+				l.takeovers.calls(n)
 			}
 			r = core.Clouded{Outcome: core.Refused}
 			if !l.cloud.outage {
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -69,6 +69,8 @@
 	switch {
 	case arg == "leader":
 		return leader
+	case arg == "standby":
+		return max(0, slices.IndexFunc(w.nodes, func(n *node) bool { return n.label == w.takeovers.standby }))
 	case arg == "other":
 		return (leader + 1) % len(w.nodes)
 	case strings.HasPrefix(arg, "owner:"):
--- a/internal/world/scenario.go
+++ b/internal/world/scenario.go
@@ -75,6 +75,7 @@
 		"next_value_bytes": whole(&s.NextValueBytes),
 		"old_format":       whole(&s.OldFormat),
 		"admission":        whole((*int)(&s.Admission)),
+		"early_takeover":   func(x float64) { s.EarlyTakeover = x > 0 },
 	}
 }
 
@@ -163,59 +164,70 @@
 	return nil
 }
 
-// expectWorld checks machines<=N, machines>=N, returned<=N and waiting<=N machines, leaders<=N, claims<=N of parts, sick=0, deaf=0,
-// owner=PART:CONTROLLER|CONTROLLER, and what was counted since "meter":
-// admitted<=N and >=N tasks that owners have admitted, shares<=N that are dealt,
-// refused<=N commits, looks_per_report<=N at machines by all controllers, and
-// bytes_per_s<=N between controllers; more_keys<=N and >=N further keys of records;
-// late_starts<=N counts starts that workers
-// carried out after the user was told that the job is withdrawn.
-func (w *World) expectWorld(what string) (string, bool, error) {
-	holds, got := false, any(nil)
-	if k, v, ok := strings.Cut(what, "<="); ok {
-		limit, _ := strconv.Atoi(v)
-		seconds := max(1, int((w.now - w.meter.since).Seconds()))
-		count := map[string]int{
-			"machines": len(w.up()), "returned": w.cloud.returns, "waiting": w.cloud.booting(), "leaders": w.store.leaders, "claims": w.store.claims, "refused": w.meter.refused,
-			"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
-			"bytes_per_s":      w.meter.bytes / seconds,
-			"late_starts":      w.lateStarts,
-			"more_keys":        w.store.moreKeys(),
-			"admitted":         w.accounting.admissions,
-			"shares":           w.accounting.openShares(),
-		}
-		n, known := count[k]
+// counts are the numbers that a script can bound with NAME<=N and NAME>=N: machines,
+// returned and waiting ones, leaders and claims of parts so far, tasks that owners have
+// admitted, shares that are dealt, further keys of records, starts that workers carried
+// out after the user was told that the job is withdrawn (late_starts), leaders replaced
+// before their lease ended (early), the time from a failure until the slowest of these
+// decided (takeover_ms), heartbeats of leaders; and since the last "meter": refused
+// commits, looks at machines by all controllers for each report, and bytes a second
+// between controllers.
+func (w *World) counts() map[string]int {
+	seconds := max(1, int((w.now - w.meter.since).Seconds()))
+	return map[string]int{
+		"machines":         len(w.up()),
+		"returned":         w.cloud.returns,
+		"waiting":          w.cloud.booting(),
+		"leaders":          w.store.leaders,
+		"claims":           w.store.claims,
+		"refused":          w.meter.refused,
+		"looks_per_report": int(w.work()-w.meter.work) / max(1, w.meter.reports),
+		"bytes_per_s":      w.meter.bytes / seconds,
+		"late_starts":      w.lateStarts,
+		"more_keys":        w.store.moreKeys(),
+		"admitted":         w.accounting.admissions,
+		"shares":           w.accounting.openShares(),
+		"early":            w.takeovers.early(),
+		"takeover_ms":      int(w.takeovers.slowest().Milliseconds()),
+		"heartbeats":       w.takeovers.heartbeats,
+	}
+}
+
+// bounded checks NAME<=N and NAME>=N. It tells whether there is such a count.
+func (w *World) bounded(what string) (known bool, err error) {
+	name, limit, atMost := strings.Cut(what, "<=")
+	if !atMost {
+		name, limit, known = strings.Cut(what, ">=")
 		if !known {
-			return what, false, nil
+			return false, nil
 		}
-		holds, got = n <= limit, n
-	} else if v, ok := strings.CutPrefix(what, "more_keys>="); ok {
-		limit, _ := strconv.Atoi(v)
-		holds, got = w.store.moreKeys() >= limit, w.store.moreKeys()
-	} else if v, ok := strings.CutPrefix(what, "admitted>="); ok {
-		limit, _ := strconv.Atoi(v)
-		holds, got = w.accounting.admissions >= limit, w.accounting.admissions
-	} else if v, ok := strings.CutPrefix(what, "machines>="); ok {
-		limit, _ := strconv.Atoi(v)
-		holds, got = len(w.up()) >= limit, len(w.up())
-	} else if v, ok := strings.CutPrefix(what, "owner="); ok {
+	}
+	got, known := w.counts()[name]
+	if !known {
+		return false, nil
+	}
+	bound, err := strconv.Atoi(limit)
+	if err == nil && (atMost && got > bound || !atMost && got < bound) {
+		err = fmt.Errorf("got %d", got)
+	}
+	return true, err
+}
+
+// expectWorld checks counts, sick=0 and deaf=0 machines, and
+// owner=PART:CONTROLLER|CONTROLLER.
+func (w *World) expectWorld(what string) (string, bool, error) {
+	if known, err := w.bounded(what); known {
+		return what, true, err
+	}
+	holds, got := false, any(nil)
+	if v, ok := strings.CutPrefix(what, "owner="); ok {
 		part, owner, _ := strings.Cut(v, ":")
 		holds, got = slices.Contains(strings.Split(owner, "|"), w.owner(part)), w.owner(part)
 	} else if what == "deaf=0" {
-		deaf := 0
-		for _, k := range w.up() {
-			if k.deafTo > w.now {
-				deaf++
-			}
-		}
+		deaf := w.countUp(func(k *workerSim) bool { return k.deafTo > w.now })
 		holds, got = deaf == 0, deaf
 	} else if what == "sick=0" {
-		sick := 0
-		for _, k := range w.up() {
-			if k.sick {
-				sick++
-			}
-		}
+		sick := w.countUp(func(k *workerSim) bool { return k.sick })
 		holds, got = sick == 0, sick
 	} else {
 		return what, false, nil
@@ -226,6 +238,17 @@
 	return what, true, nil
 }
 
+// countUp counts the machines that are up and like this.
+func (w *World) countUp(like func(*workerSim) bool) int {
+	count := 0
+	for _, k := range w.up() {
+		if like(k) {
+			count++
+		}
+	}
+	return count
+}
+
 // owner names the controller whose claim of a part stands.
 func (w *World) owner(part string) string {
 	k := w.store.keys[wire.PartKey(part)]
--- a/internal/world/scenario_test.go
+++ b/internal/world/scenario_test.go
@@ -19,6 +19,7 @@
 	}
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
 			a, err := txtar.ParseFile(f)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -173,6 +173,8 @@
 	"watch-hangs": always(func(w *World, a arguments) { w.HangWatch(w.controller(a.word(0)), a.dur(1)) }),
 	// controller, seconds until it is back
 	"crash": always(func(w *World, a arguments) { w.Crash(w.controller(a.word(0)), a.dur(1)) }),
+	// seconds for which the next controller that claims the leadership ends at once
+	"crash-claimant": always(func(w *World, a arguments) { w.takeovers.endNext = a.dur(0) }),
 	// controller, seconds for which it stands still
 	"freeze": always(func(w *World, a arguments) { w.Freeze(w.controller(a.word(0)), a.dur(1)) }),
 	// controller, seconds for which the state service refuses it
@@ -239,7 +241,7 @@
 		}
 		return k.m.Name, nil
 	}
-	if name == "leader" || name == "other" {
+	if name == "leader" || name == "standby" || name == "other" {
 		return w.nodes[w.controller(name)].label, nil
 	}
 	return name, nil
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -132,11 +132,13 @@
 		s.apply(p, s.rev)
 	}
 	s.w.accounting.committed(conds, puts)
+	s.w.takeovers.committed(n, conds, puts)
 	s.notify()
 	return core.OK, s.rev, nil
 }
 
 func (s *store) apply(p put, rev uint64) {
+	begins := p.key == wire.LeaderKey && p.raw != nil && s.w.takeovers.claims(decode(p.key, p.raw).(*wire.Leader), rev)
 	if p.raw == nil {
 		if s.keys[p.key] == nil {
 			return
@@ -145,7 +147,7 @@
 	} else {
 		s.keys[p.key] = &entry{raw: p.raw, rev: rev, lease: p.lease}
 	}
-	if p.key == wire.LeaderKey && p.raw != nil {
+	if begins {
 		s.leaders++
 		s.ledFrom = s.w.now
 		s.w.deliverKept()
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -40,6 +40,7 @@
 	NextValueBytes int
 	Admission      core.Admission // what owners admit by themselves
 	OldFormat      int            // that controllers read at first, until they are replaced; 0: the newest
+	EarlyTakeover  bool           // a suspected leader is replaced before its lease ends
 
 	// Where controllers are real processes: how one is started, asked, and how a worker
 	// gets an address of its own.
@@ -86,6 +87,7 @@
 
 	troubles
 	accounting *accounting
+	takeovers  *takeoverWatch
 
 	copiesTo, copyDelay time.Duration   // until when reports come twice, and how late
 	held                map[string]bool // cuts that deliver what they held
@@ -165,6 +167,7 @@
 	w.store = newStore(w)
 	w.accounting = newAccounting(w)
 	w.cloud = newCloud(w)
+	w.takeovers = newTakeoverWatch(w)
 	for i, z := range s.Nodes {
 		n := &node{w: w, ix: i, label: fmt.Sprintf("n%d", i), zone: z, drift: 1 + 0.0005*float64(i)/float64(len(s.Nodes))}
 		n.old = s.OldFormat > 0
@@ -302,7 +305,7 @@
 		}
 		return now
 	}
-	cfg.Admission = w.Admission
+	cfg.Admission, cfg.EarlyTakeover = w.Admission, w.EarlyTakeover
 	if n.old {
 		cfg.Format = w.OldFormat
 	}
@@ -334,8 +337,12 @@
 		return
 	}
 	w.troubled(d)
+	w.takeovers.failing(ix)
 	n.up = false
 	n.wait = nil
+	if w.launch == nil {
+		w.disconnect(n)
+	}
 	w.after(d, n.start)
 }
 
@@ -368,6 +375,7 @@
 		return
 	}
 	w.troubled(d)
+	w.takeovers.failing(ix)
 	n.still, n.stops = w.now+d, w.rng.IntN(2) == 0
 	life := n.life
 	w.after(d, func() {
@@ -377,6 +385,10 @@
 		stuck, backlog := n.stuck, n.backlog
 		n.stuck, n.backlog, n.stops = nil, nil, false
 		for _, e := range stuck {
+			if call, is := e.(core.Cloud); is && (call.Hire != nil || call.Return != nil) && d > call.Within {
+				n.step(core.Clouded{ID: call.ID, Outcome: core.Refused}) // as the adapter does
+				continue
+			}
 			n.perform(e)
 		}
 		for _, in := range backlog {
@@ -457,6 +469,8 @@
 		n.order(x)
 	case core.Send:
 		n.send(x)
+	case core.Heartbeat:
+		n.heartbeat(x)
 	case core.Forward:
 		n.forward(x)
 	case core.Log:
@@ -506,8 +520,11 @@
 // callCloud sends a call to the cloud.
 func (n *node) callCloud(x core.Cloud) {
 	w := n.w
-	if (x.Hire != nil || x.Return != nil) && w.staleLeader(n) {
-		w.broke("stale_leader", "%s deals with the cloud", n.label)
+	if x.Hire != nil || x.Return != nil {
+		if w.staleLeader(n) {
+			w.broke("stale_leader", "%s deals with the cloud", n.label)
+		}
+		w.takeovers.calls(n)
 	}
 	n.call(w.fate, func() core.Input { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() core.Input {
 		if w.cut(n.label, n.zone, "cloud", "") {
