--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -294,7 +294,8 @@
 	}
 	n.retiring = slices.DeleteFunc(n.retiring, func(ix int) bool {
 		h := n.hosts[ix]
-		if h.retiring && !asked[h.name] {
+		// A leader that was replaced early may still return what it had asked for.
+		if h.retiring && !asked[h.name] && n.now >= n.cloudOpensAt() {
 			h.retiring = false
 		}
 		return !h.retiring || h.returned
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -285,6 +285,29 @@
 	}
 }
 
+// What a replaced leader had asked an owner to empty may still be returned by it: the owner
+// places nothing there until its right to call the cloud has run out.
+func TestOwnerKeepsMachinesEmptyForAReplacedLeader(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	h := m.n.hostOf("vm-1")
+	h.retiring = true
+	m.n.retiring = []int{h.ix}
+	m.lead("n2", "z", true, 1)
+	hear := func() {
+		m.step(Gossiped{Msg: &wire.Gossip{From: "n2", Life: "z", UpS: m.now.Seconds(), StoreOK: true}})
+	}
+	m.wait(standby.CloudWait(5*second)-100*time.Millisecond, 0)
+	if hear(); !h.retiring {
+		t.Error("the owner may place on a machine that the replaced leader may return")
+	}
+	m.wait(200*time.Millisecond, 0)
+	if hear(); h.retiring {
+		t.Error("the machine is kept empty for ever")
+	}
+}
+
 // Whoever asks is told who leads, who stands by and how far the copy goes.
 func TestStandbyStatus(t *testing.T) {
 	m := newMember(t)
--- a/internal/world/loopback.go
+++ b/internal/world/loopback.go
@@ -61,7 +61,7 @@
 	s.serveWorker = l.serveWorker
 	l.procs = make([]*process, len(s.Nodes))
 	for i := range l.procs {
-		p, err := addresses(i)
+		p, err := addresses(s.Seed, i)
 		if err != nil {
 			return nil, err
 		}
@@ -79,12 +79,12 @@
 
 // addresses finds two addresses for a controller. They are at a loopback address of its
 // own: everything else listens at 127.0.0.1 and can't take a port while the controller is
-// away.
-func addresses(i int) (*process, error) {
+// away. Sites with other seeds that are played at the same time have others.
+func addresses(seed uint64, i int) (*process, error) {
 	p := &process{peers: map[int]*proxy{}}
 	var held []net.Listener
 	for _, into := range []*string{&p.public, &p.private} {
-		free, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", i+1))
+		free, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 1+seed%250, i+1))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/world/proxy.go
+++ b/internal/world/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	listener net.Listener
 	target   string
 
+	carried atomic.Int64 // bytes, both ways
+
 	mu      sync.Mutex
 	changed chan struct{} // closed when the state changes
 	forth   linkState     // towards the target
@@ -120,6 +123,7 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		p.carried.Add(int64(k))
 		if _, err := to.Write(buf[:k]); err != nil {
 			return
 		}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -122,6 +122,7 @@
 		}
 	}
 	if len(failed) > 0 {
+		s.w.takeovers.lost(puts)
 		return core.Conflict, s.rev, failed
 	}
 	if len(puts) == 0 {
--- a/internal/world/takeover.go
+++ b/internal/world/takeover.go
@@ -22,6 +22,7 @@
 	endNext      time.Duration // for how long the next to claim ends at once; 0: it does not
 	standby      string        // that the last heartbeat named
 	heartbeats   int
+	lostClaims   int           // claims that failed as another had been carried out
 	disconnected time.Duration // how long the end of a connection takes to be seen
 }
 
@@ -104,6 +105,13 @@
 	}
 }
 
+// lost notes a transaction that failed on its conditions.
+func (t *takeoverWatch) lost(puts []put) {
+	if slices.ContainsFunc(puts, func(p put) bool { return p.key == wire.LeaderKey && p.raw != nil }) {
+		t.lostClaims++
+	}
+}
+
 // calls checks that a controller may have the cloud hire or return.
 func (t *takeoverWatch) calls(n *node) {
 	latest := -1
