Decision log: the standby learns what only the leader knows, and goes on from it

Need: a new leader began without boots seen, hires under way, refusals, kept machines and waits. Change: facts go to the standby over net/rpc, numbered, with a checksum, one message at a time, gathered by fact; the next leader adopts what records and owners don't contradict.

--- a/internal/core/boots.go
+++ b/internal/core/boots.go
@@ -27,6 +27,7 @@
 
 // boot is a machine that has come up.
 type boot struct {
+	name   string
 	rented Time
 	ratio  float64 // to its type's boot time
 }
@@ -39,7 +40,7 @@
 	}
 	delete(c.booting, name)
 	if r := n.flavor(b.pool.rig); r != nil && r.BootS > 0 {
-		c.boots = append(c.boots, boot{b.since, (n.now - b.since).Seconds() / r.BootS})
+		c.boots = append(c.boots, boot{name, b.since, (n.now - b.since).Seconds() / r.BootS})
 		c.boots = c.boots[max(0, len(c.boots)-bootsKept):]
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -232,6 +232,10 @@
 		n.heartbeat(x.Msg)
 	case Disconnected:
 		n.disconnected(x.Peer)
+	case LogReceived:
+		n.logReceived(x)
+	case LogAcknowledged:
+		n.standby.publisher.Acknowledged(n.now, x.Ack)
 	case StatusRequest:
 		n.emit(Reply{Req: x.Req, Status: http.StatusOK, Body: n.standbyStatus()})
 	}
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -17,8 +17,9 @@
 	abandonedTerm uint64 // the claim of ours that we have given up, or that has been replaced
 	acceptedTerm  uint64 // the last claim of ours of which we had the answer
 	acceptedAt    Time
-	cloudBadSince Time // since when the cloud has not answered; 0: it does
-	cutOffSince   Time // since when we lead cut off; 0: we don't
+	lastClaim     uint64 // the term of the last claim, whose leader may be gone
+	cloudBadSince Time   // since when the cloud has not answered; 0: it does
+	cutOffSince   Time   // since when we lead cut off; 0: we don't
 }
 
 // putLeader takes in who leads. A new term of the same process goes on with what the
@@ -30,7 +31,10 @@
 	// Also one who has resigned: what it last decided and never heard of would
 	// else count as about to be written for ever, and its own owner would leave
 	// those records alone.
-	led, continues := n.claimed(), n.leads()
+	led, continues, before := n.claimed(), n.leads(), uint64(0)
+	if rec != nil && rev > n.lastClaim {
+		before, n.lastClaim = n.lastClaim, rev
+	}
 	n.leader.rec, n.leader.rev = rec, rev
 	n.observeLeader()
 	if continues && n.leads() {
@@ -41,6 +45,7 @@
 	if n.leads() {
 		n.leader.reset()
 		n.log(LogInfo, "leading", "term", rev)
+		n.adoptDecisions(before)
 	} else if led {
 		n.leader.reset()
 		n.log(LogInfo, "no longer leading")
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -70,6 +70,7 @@
 func (Direct) effect()    {}
 func (Send) effect()      {}
 func (Heartbeat) effect() {}
+func (SendLog) effect()   {}
 func (Forward) effect()   {}
 func (Reply) effect()     {}
 func (Log) effect()       {}
@@ -88,6 +89,8 @@
 func (HeartbeatReceived) input() {}
 func (Disconnected) input()      {}
 func (StatusRequest) input()     {}
+func (LogReceived) input()       {}
+func (LogAcknowledged) input()   {}
 
 func (Committed) result() {}
 func (Directed) result()  {}
@@ -142,6 +145,12 @@
 		To  string
 		Msg *wire.Heartbeat
 	}
+	// SendLog sends a message of the decision log to the standby; LogAcknowledged answers it,
+	// if it is answered.
+	SendLog struct {
+		To  string
+		Msg *wire.DecisionLog
+	}
 	// Forward hands a user's request to a peer; the answer comes as Forwarded.
 	Forward struct {
 		Req  uint64
@@ -234,6 +243,14 @@
 	HeartbeatReceived struct{ Msg *wire.Heartbeat }
 	// Disconnected says that the connection to a peer has broken.
 	Disconnected struct{ Peer string }
+	// LogReceived is a message of the leader's decision log; Reply has a
+	// wire.DecisionLogAck.
+	LogReceived struct {
+		Req uint64
+		Msg *wire.DecisionLog
+	}
+	// LogAcknowledged is the standby's answer to SendLog.
+	LogAcknowledged struct{ Ack wire.DecisionLogAck }
 	// StatusRequest asks who leads and who stands by; Reply has a wire.StandbyStatus.
 	StatusRequest struct{ Req uint64 }
 )
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -22,6 +22,10 @@
 	designated  string
 	heartbeatAt Time
 	takeovers   *wire.Takeovers // the record, as our copy has it
+
+	publisher *standby.Publisher // our end of the decision log as the leader
+	replica   *standby.Replica   // our end of it as the standby
+	publishAt Time
 }
 
 // takeoversKept is how many takeovers the record lists, where a value has room for them.
@@ -34,6 +38,7 @@
 	}
 	slices.Sort(cfg.Members)
 	n.standby.follower = standby.NewFollower(cfg)
+	n.standby.publisher, n.standby.replica = standby.NewPublisher(), standby.NewReplica()
 }
 
 // writesStandby tells whether claims may say that they are fenced.
@@ -85,6 +90,7 @@
 		n.fenceClaim()
 		n.proveClaim()
 		n.sendHeartbeats()
+		n.publishDecisions()
 		return
 	}
 	n.dropUnseenClaim()
@@ -304,8 +310,14 @@
 	status.Leader, status.Fenced, status.Streak = n.leader.rec.Node, n.leader.rec.Fenced, n.leader.rec.Streak
 	if n.leads() {
 		status.Standby = s.designated
+		status.LogMessages, status.LogFacts = s.publisher.Lag()
+		status.LogResyncs = s.publisher.Resyncs()
 		return status
 	}
+	if term, _ := s.replica.Sequence(); term == n.leader.rev {
+		status.LogHeld = s.replica.Facts()
+	}
+	status.LogDropped = s.replica.Dropped()
 	evidence := s.follower.Evidence(n.now)
 	status.SilenceMS, status.Suspected, status.Suspecting = evidence.Silence.Milliseconds(), s.follower.SuspectedAt() > 0, evidence.Suspecting
 	return status
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"hash/crc32"
 	"slices"
 	"testing"
 	"time"
@@ -232,6 +233,20 @@
 	}
 }
 
+// A controller that stood still takes nobody's silence in that time for a failure, whatever
+// peers told before.
+func TestPauseIsNoSilenceOfTheLeader(t *testing.T) {
+	m := newMember(t)
+	term := m.lead("n0", "x", true, 0)
+	m.wait(10*second, term)
+	m.now += 4 * second
+	m.suspect(term)
+	m.wait(200*time.Millisecond, 0)
+	if claims := m.take(); len(claims) > 0 || m.n.standby.follower.SuspectedAt() > 0 {
+		t.Errorf("the leader is suspected, claims %+v", claims)
+	}
+}
+
 // A claim that the watch does not show is given up: renewed on, it would leave the site
 // without a leader that decides.
 func TestUnseenClaimIsDropped(t *testing.T) {
@@ -308,6 +323,55 @@
 	}
 }
 
+// logMessage is a message of n0's log.
+func logMessage(t *testing.T, term, sequence uint64, now Time, facts ...wire.Fact) *wire.DecisionLog {
+	t.Helper()
+	raw, err := wire.Encode(facts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.DecisionLog{From: "n0", Life: "x", Term: term, Sequence: sequence, Reset: true, NowMS: now.Milliseconds(), Facts: raw, Checksum: crc32.ChecksumIEEE(raw)}
+}
+
+// What the last leader has told is gone on from, a hire under its own name, but for what
+// the records and owners contradict; what an earlier leader told is not.
+func TestDecisionsAreAdopted(t *testing.T) {
+	for _, ofLast := range []bool{true, false} {
+		m := newMember(t)
+		m.n.takeTypes([]wire.Flavor{{Name: "g", Cores: 8, Cards: 1, MemoryGB: 64, FetchGBs: 1, Price: 1, BootS: 10, Zones: []string{"a"}}})
+		m.n.hostOf("vm-4").info.known = true
+		m.n.hostOf("vm-5").returned = true
+		term := m.lead("n0", "x", true, 0)
+		m.wait(2*second, term)
+		m.step(LogReceived{Req: 1, Msg: logMessage(t, term, 1, m.now,
+			wire.Fact{Kind: wire.FactBooting, Name: "vm-3", Rig: "g", Zone: "a", At: m.now.Milliseconds() - 1000},
+			wire.Fact{Kind: wire.FactBooting, Name: "vm-4", Rig: "g", Zone: "a", At: 1}, // its owner hears it
+			wire.Fact{Kind: wire.FactRetiring, Name: "vm-5"},                            // gone
+			wire.Fact{Kind: wire.FactRetiring, Name: "vm-6"},
+			wire.Fact{Kind: wire.FactBooting, Name: "vm-7", Rig: "g", Zone: "elsewhere", At: 1},
+			wire.Fact{Kind: wire.FactHire, Name: "r-5-2", Rig: "g", Zone: "a", Count: 3, At: 1},
+			wire.Fact{Kind: wire.FactBlocked, Name: "wk-999999", At: 1},
+			wire.Fact{Kind: 99, Name: "of a later version"})})
+		if !ofLast {
+			m.lead("n2", "z", true, 1)
+		}
+		m.lead("n1", "y", true, 2)
+		c := &m.n.leader.cloud
+		if !ofLast {
+			if len(c.booting)+len(c.hires)+len(c.retiring) > 0 {
+				t.Errorf("adopted of an earlier leader: %+v", c)
+			}
+			continue
+		}
+		if len(c.booting) != 1 || c.booting["vm-3"] == nil || m.now-c.booting["vm-3"].since != second || len(c.retiring) != 1 || !c.retiring["vm-6"] {
+			t.Errorf("booting %v, retiring %v", c.booting, c.retiring)
+		}
+		if len(c.hires) != 1 || c.hires[0].sent || c.hires[0].req != (wire.Hire{Name: "r-5-2", Rig: "g", Zone: "a", Count: 3}) {
+			t.Errorf("hires %+v", c.hires)
+		}
+	}
+}
+
 // Whoever asks is told who leads, who stands by and how far the copy goes.
 func TestStandbyStatus(t *testing.T) {
 	m := newMember(t)
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -30,6 +30,7 @@
 		return s, nil
 	case "h1:1":
 		s.Revision, s.SilenceMS, s.Suspected, s.Suspecting, s.Served = 37, 1800, true, 1, false
+		s.LogHeld, s.LogDropped = 45, 2
 		return s, nil
 	}
 	return wire.StandbyStatus{}, errors.New("connection refused")
@@ -44,9 +45,9 @@
 	}
 	lines := strings.Split(out.String(), "\n")
 	for i, want := range []string{
-		"CONTROLLER  ROLE       LEADER  TERM  LAG  SILENCE                  TAKEOVER  FORMAT  FAULT",
-		"n0          leads      n0      12    0    -                        early     5       ",
-		"n1          stands by  n0      12    3    1800 ms, suspected by 1  early     5       refused by the state service",
+		"CONTROLLER  ROLE       LEADER  TERM  LAG  SILENCE                  LOG TAKEOVER  FORMAT  FAULT",
+		"n0          leads      n0      12    0    -  0 facts behind, begun anew 0 times early     5       ",
+		"n1          stands by  n0      12    3    1800 ms, suspected by 1 45 facts, 2 messages dropped early     5       refused by the state service",
 		"n2          ?                                                                        connection refused",
 		"",
 		"TAKEOVER              FROM  TO  SILENCE                     SUSPECTED BY        SUSPECTED  CLAIMED  SEEN     CAUGHT UP  DECIDED",
--- a/internal/leadership/print.go
+++ b/internal/leadership/print.go
@@ -21,15 +21,15 @@
 // PrintTable writes an overview as two tables, of the controllers and of the takeovers.
 func PrintTable(out io.Writer, o *Overview) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "CONTROLLER\tROLE\tLEADER\tTERM\tLAG\tSILENCE\tTAKEOVER\tFORMAT\tFAULT")
+	fmt.Fprintln(table, "CONTROLLER\tROLE\tLEADER\tTERM\tLAG\tSILENCE\tLOG\tTAKEOVER\tFORMAT\tFAULT")
 	for i := range o.Controllers {
 		c := &o.Controllers[i]
 		if c.Fault != "" {
-			fmt.Fprintf(table, "%s\t?\t\t\t\t\t\t\t%s\n", c.Controller, c.Fault)
+			fmt.Fprintf(table, "%s\t?\t\t\t\t\t\t\t\t%s\n", c.Controller, c.Fault)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%s\n", c.Controller, c.role(), c.leader(), c.Term, c.Lag,
-			c.silence(), c.setting(), c.Agreed, c.fault())
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%d\t%s\n", c.Controller, c.role(), c.leader(), c.Term, c.Lag,
+			c.silence(), c.decisionLog(), c.setting(), c.Agreed, c.fault())
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -98,6 +98,22 @@
 	return text
 }
 
+// decisionLog is how far the standby is behind, at the leader, and elsewhere what is held of
+// the leader's log.
+func (c *Controller) decisionLog() string {
+	switch {
+	case !c.Fenced:
+		return "-"
+	case c.Controller == c.Leader && c.Standby == "":
+		return "no standby"
+	case c.Controller == c.Leader:
+		return fmt.Sprintf("%d facts behind, begun anew %d times", c.LogFacts, c.LogResyncs)
+	case c.Controller == c.Standby || c.LogHeld > 0:
+		return fmt.Sprintf("%d facts, %d messages dropped", c.LogHeld, c.LogDropped)
+	}
+	return "-"
+}
+
 func (c *Controller) setting() string {
 	switch {
 	case !c.Early:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -255,6 +255,10 @@
 		if l := n.links[x.To]; l != nil {
 			l.SendHeartbeat(x.Msg)
 		}
+	case core.SendLog:
+		if l := n.links[x.To]; l != nil {
+			l.SendLog(x.Msg, func(ack wire.DecisionLogAck) { n.post(core.LogAcknowledged{Ack: ack}) })
+		}
 	case core.Forward:
 		n.forward(x)
 	case core.Reply:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,6 +33,16 @@
 	return nil
 }
 
+// DecisionLog takes a message of the leader's decision log.
+func (s *Service) DecisionLog(m *wire.DecisionLog, ack *wire.DecisionLogAck) error {
+	r, ok := s.ask(func(req uint64) core.Input { return core.LogReceived{Req: req, Msg: m} })
+	if !ok {
+		return errOverloaded
+	}
+	*ack = r.Body.(wire.DecisionLogAck)
+	return nil
+}
+
 // Standby tells operators who leads and who stands by.
 func (s *Service) Standby(_ Ack, status *wire.StandbyStatus) error {
 	r, ok := s.ask(func(req uint64) core.Input { return core.StatusRequest{Req: req} })
@@ -135,6 +145,32 @@
 // SendHeartbeat leaves a heartbeat for the peer.
 func (l *Link) SendHeartbeat(m *wire.Heartbeat) { replace(l.heartbeats, m) }
 
+// SendLog sends a message of the decision log; done gets the answer, if one comes in time.
+func (l *Link) SendLog(m *wire.DecisionLog, done func(wire.DecisionLogAck)) {
+	l.do(func(cl *rpc.Client) {
+		if cl == nil {
+			return
+		}
+		go func() {
+			var ack wire.DecisionLogAck
+			if call(cl, "Peer.DecisionLog", m, &ack, 1700*time.Millisecond) == nil {
+				done(ack)
+			}
+		}()
+	})
+}
+
+// do runs a job with the connection, which is nil if there is none. It tells whether there
+// was room for it.
+func (l *Link) do(job func(*rpc.Client)) bool {
+	select {
+	case l.jobs <- job:
+		return true
+	default:
+		return false
+	}
+}
+
 // watched is a connection that tells when it has broken.
 type watched struct {
 	net.Conn
@@ -152,7 +188,7 @@
 
 // Ask forwards a user's request; done gets status 0 when no answer came.
 func (l *Link) Ask(c wire.UserCall, done func(wire.UserAnswer)) {
-	job := func(cl *rpc.Client) {
+	taken := l.do(func(cl *rpc.Client) {
 		if cl == nil {
 			done(wire.UserAnswer{})
 			return
@@ -164,10 +200,8 @@
 			}
 			done(a)
 		}()
-	}
-	select {
-	case l.jobs <- job:
-	default:
+	})
+	if !taken {
 		done(wire.UserAnswer{})
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -42,6 +42,61 @@
 	}
 }
 
+// A leader's heartbeats and its log reach its standby, which answers the log; operators are
+// answered, and the end of a connection is noticed at once.
+func TestLeaderMessages(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := make(chan core.Input, 10)
+	connections := make(chan net.Conn, 10)
+	go Serve(accepting{l, connections}, func(in core.Input) { heard <- in }, func(input func(uint64) core.Input) (core.Reply, bool) {
+		switch x := input(5).(type) {
+		case core.LogReceived:
+			return core.Reply{Body: wire.DecisionLogAck{Term: x.Msg.Term, Sequence: x.Msg.Sequence}}, true
+		case core.StatusRequest:
+			return core.Reply{Body: wire.StandbyStatus{Leader: "n0", Revision: 7}}, true
+		}
+		return core.Reply{}, false
+	})
+	broken := make(chan bool, 10)
+	link := Dial(l.Addr().String(), func() { broken <- true })
+	link.SendHeartbeat(&wire.Heartbeat{From: "n0", Term: 4, Standby: "n1"})
+	if m := (<-heard).(core.HeartbeatReceived).Msg; m.Term != 4 || m.Standby != "n1" {
+		t.Errorf("heard %+v", m)
+	}
+	acks := make(chan wire.DecisionLogAck, 1)
+	link.SendLog(&wire.DecisionLog{Term: 4, Sequence: 9}, func(ack wire.DecisionLogAck) { acks <- ack })
+	if ack := <-acks; ack.Term != 4 || ack.Sequence != 9 {
+		t.Errorf("answered %+v", ack)
+	}
+	if status, err := AskStandby(l.Addr().String(), time.Second); err != nil || status.Leader != "n0" || status.Revision != 7 {
+		t.Errorf("answered %+v, %v", status, err)
+	}
+	l.Close()
+	(<-connections).Close()
+	select {
+	case <-broken:
+	case <-time.After(5 * time.Second):
+		t.Error("the end of the connection is not noticed")
+	}
+}
+
+// accepting is a listener that tells of its connections.
+type accepting struct {
+	net.Listener
+	connections chan net.Conn
+}
+
+func (a accepting) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err == nil {
+		a.connections <- c
+	}
+	return c, err
+}
+
 // A peer that is down answers nothing; the user's request must not hang.
 func TestPeerDown(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -197,6 +197,9 @@
 // Stands tells whether the leader has named this controller as its standby.
 func (f *Follower) Stands() bool { return f.watching() && f.designated == f.cfg.Self }
 
+// Claim is that of the present leader.
+func (f *Follower) Claim() Claim { return f.claim }
+
 // Silence is how long the leader has not been heard.
 func (f *Follower) Silence(now time.Duration) time.Duration { return f.detector.Silence(now) }
 
--- /dev/null
+++ b/internal/standby/log_test.go
@@ -0,0 +1,202 @@
+package standby
+
+import (
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"micaport/internal/wire"
+)
+
+// logClaim is the leader's claim in the tests of the log.
+var logClaim = Claim{Node: "a", Life: "a1", Term: 7}
+
+func fact(name string, at int64) wire.Fact {
+	return wire.Fact{Kind: wire.FactIdle, Name: name, At: at}
+}
+
+// held lists what a replica holds of a term, by name, with times of the leader's clock.
+func held(r *Replica, term uint64) map[string]int64 {
+	facts := map[string]int64{}
+	for _, f := range r.Of(term) {
+		facts[f.Name] = f.At - r.offset.Milliseconds()
+	}
+	return facts
+}
+
+// A standby gets everything at first and then what changes, each once.
+func TestLogCarriesChanges(t *testing.T) {
+	p, r := NewPublisher(), NewReplica()
+	p.Direct("b", 7)
+	exchange := func(now time.Duration, facts ...wire.Fact) int {
+		p.Publish(facts)
+		_, m := p.Next(now, "a", "a1")
+		if m == nil {
+			return -1
+		}
+		p.Acknowledged(now, r.Take(now+time.Hour, logClaim, m))
+		var sent []wire.Fact
+		if err := wire.Decode(m.Facts, &sent); err != nil {
+			t.Fatal(err)
+		}
+		return len(sent)
+	}
+	for i, c := range []struct {
+		facts []wire.Fact
+		sent  int
+	}{
+		{[]wire.Fact{fact("x", 1), fact("y", 2)}, 2}, {[]wire.Fact{fact("x", 1), fact("y", 2)}, -1},
+		{[]wire.Fact{fact("x", 1), fact("y", 3), fact("z", 4)}, 2}, {[]wire.Fact{fact("z", 4)}, 2}, {nil, 1}, {nil, -1},
+	} {
+		if sent := exchange(time.Duration(i)*time.Second, c.facts...); sent != c.sent {
+			t.Errorf("step %d: %d facts sent, not %d", i, sent, c.sent)
+		}
+		want := map[string]int64{}
+		for _, f := range c.facts {
+			want[f.Name] = f.At
+		}
+		if got := held(r, 7); !maps.Equal(got, want) {
+			t.Errorf("step %d: the standby holds %v, not %v", i, got, want)
+		}
+	}
+	if facts := r.Of(6); facts != nil {
+		t.Errorf("facts of another term: %v", facts)
+	}
+}
+
+// Times are those of the standby's clock.
+func TestLogConvertsTimes(t *testing.T) {
+	p, r := NewPublisher(), NewReplica()
+	p.Direct("b", 7)
+	p.Publish([]wire.Fact{fact("x", 1500), {Kind: wire.FactRetiring, Name: "y"}})
+	_, m := p.Next(2*time.Second, "a", "a1")
+	r.Take(time.Hour, logClaim, m)
+	for _, f := range r.Of(7) {
+		want := int64(0)
+		if f.Kind == wire.FactIdle {
+			want = (time.Hour - 500*time.Millisecond).Milliseconds()
+		}
+		if f.At != want {
+			t.Errorf("%s: %d, not %d", f.Name, f.At, want)
+		}
+	}
+}
+
+// What a standby that does not answer misses is bounded by the facts there are, and a
+// large site's facts go in several messages.
+func TestLogIsBounded(t *testing.T) {
+	p, r := NewPublisher(), NewReplica()
+	p.Direct("b", 7)
+	facts := make([]wire.Fact, 4000)
+	for round := range 50 {
+		for i := range facts {
+			facts[i] = fact(fmt.Sprintf("vm-%d", i), int64(round*5000+i+1))
+		}
+		p.Publish(facts)
+		if p.Next(time.Duration(round)*100*time.Millisecond, "a", "a1"); len(p.dirty) > len(facts) {
+			t.Fatalf("%d changes wait", len(p.dirty))
+		}
+	}
+	messages := 0
+	for now := time.Minute; ; now += 100 * time.Millisecond {
+		_, m := p.Next(now, "a", "a1")
+		if m == nil {
+			break
+		}
+		if len(m.Facts) > 64<<10 {
+			t.Errorf("a message of %d bytes", len(m.Facts))
+		}
+		messages++
+		p.Acknowledged(now, r.Take(now, logClaim, m))
+	}
+	if r.Facts() != len(facts) || messages != 4 || p.Resyncs() == 0 {
+		t.Errorf("%d facts in %d messages after %d resynchronisations", r.Facts(), messages, p.Resyncs())
+	}
+}
+
+// A standby whose copy of the records lags refuses the log; that is not repeated at once.
+func TestLogPausesAfterRefusal(t *testing.T) {
+	p, r := NewPublisher(), NewReplica()
+	p.Direct("b", 8)
+	p.Publish([]wire.Fact{fact("x", 1)})
+	_, m := p.Next(time.Second, "a", "a1")
+	p.Acknowledged(time.Second, r.Take(time.Second, logClaim, m))
+	if _, m := p.Next(time.Second+resyncPause-1, "a", "a1"); m != nil {
+		t.Error("repeated at once")
+	}
+	if _, m := p.Next(time.Second+resyncPause, "a", "a1"); m == nil || !m.Reset {
+		t.Errorf("then %+v", m)
+	}
+	if r.Dropped() != 1 {
+		t.Errorf("%d dropped", r.Dropped())
+	}
+}
+
+// Messages are lost, repeated, late, damaged, and come from other leaders, lives and terms,
+// acknowledgements too: nothing panics, what is not of the present log is counted and
+// dropped, and once messages arrive again the standby holds exactly what the leader knows.
+func TestLogUnderTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, r := NewPublisher(), NewReplica()
+		p.Direct("b", 7)
+		now := time.Second
+		knows := map[string]int64{}
+		var late []*wire.DecisionLog
+		publish := func() {
+			var facts []wire.Fact
+			for name, at := range knows {
+				facts = append(facts, fact(name, at))
+			}
+			p.Publish(facts)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(10, 900).Draw(t, "pause")) * time.Millisecond
+			name := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "fact"))
+			if rapid.Bool().Draw(t, "drop") {
+				delete(knows, name)
+			} else {
+				knows[name] = int64(rapid.IntRange(1, 1000).Draw(t, "at"))
+			}
+			publish()
+			if _, m := p.Next(now, "a", "a1"); m != nil {
+				late = append(late, m)
+				switch rapid.IntRange(0, 4).Draw(t, "fate") {
+				case 0: // lost
+				case 1: // carried out, its acknowledgement lost
+					r.Take(now, logClaim, m)
+				default:
+					p.Acknowledged(now, r.Take(now, logClaim, m))
+				}
+			}
+			if len(late) > 0 && rapid.IntRange(0, 2).Draw(t, "trouble") == 0 {
+				m := *rapid.SampledFrom(late).Draw(t, "message")
+				switch rapid.IntRange(0, 4).Draw(t, "kind") {
+				case 0:
+					m.Facts = rapid.SliceOf(rapid.Byte()).Draw(t, "damage")
+				case 1:
+					m.Term -= uint64(rapid.IntRange(1, 6).Draw(t, "term"))
+				case 2:
+					m.Life = "a0"
+				case 3:
+					m.Facts = rapid.SliceOf(rapid.Byte()).Draw(t, "nonsense")
+					m.Checksum = crc32.ChecksumIEEE(m.Facts)
+				}
+				p.Acknowledged(now, r.Take(now, logClaim, &m))
+			}
+		}
+		for range 40 {
+			now += time.Second
+			publish()
+			if _, m := p.Next(now, "a", "a1"); m != nil {
+				p.Acknowledged(now, r.Take(now, logClaim, m))
+			}
+		}
+		if got := held(r, 7); !maps.Equal(got, knows) {
+			t.Fatalf("the standby holds %v, the leader knows %v", got, knows)
+		}
+	})
+}
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -206,12 +206,44 @@
 	}
 }
 
+// messages5 are the messages between controllers that format 5 adds.
+func messages5() map[string]any {
+	return map[string]any{
+		"gob-heartbeat": &Heartbeat{From: "stanok-0", Life: "7-98-1", Term: 412, Standby: "stanok-1"},
+		"gob-decision-log": &DecisionLog{From: "stanok-0", Life: "7-98-1", Term: 412, Sequence: 3, Reset: true, NowMS: 60500,
+			Facts: []byte{0x90}, Checksum: 0x6a09e667},
+		"gob-decision-log-ack": &DecisionLogAck{Term: 412, Sequence: 3, Resync: true},
+		"gob-gossip": &Gossip{From: "stanok-1", Life: "8-11-4", UpS: 12.5, StoreOK: true,
+			Leader: &LeaderView{Term: 412, SilenceMS: 1800, Broken: true, Suspected: true}},
+	}
+}
+
+// facts5 is a fact of each kind that has fields of its own, as the log carries them.
+func facts5() []Fact {
+	return []Fact{
+		{Kind: FactBooting, Name: "vm-000231", At: 1500, Rig: "g8", Zone: "a", Spot: true, Seen: true},
+		{Kind: FactHire, Name: "r-412-3", At: 1700, Rig: "g8", Zone: "b", Count: 12},
+		{Kind: FactBoot, Name: "vm-000230", At: 900, Ratio: 1.25},
+		{Kind: FactKept, Name: "vm-000007", Ref: "wk-000412"},
+		{Kind: FactIdle, Name: "vm-000009", Dropped: true},
+	}
+}
+
 // Records of format 5 are read and written byte for byte as by the first version that has
-// them; a leader that is not fenced is written as in format 1.
+// them; a leader that is not fenced is written as in format 1. Messages are read as that
+// version sends them.
 func TestFormat5(t *testing.T) {
 	for name, want := range format5() {
 		checkRecord(t, name, fixture(t, "format5/"+name), want)
 	}
+	for name, want := range messages5() {
+		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
+		if err := gob.NewDecoder(bytes.NewReader(fixture(t, "format5/"+name))).Decode(got); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: read as %+v, %v", name, got, err)
+		}
+	}
+	want := facts5()
+	checkRecord(t, "facts", fixture(t, "format5/facts"), &want)
 }
 
 // A damaged account is told from an absent one: it may hold shares.
--- a/internal/wire/standby.go
+++ b/internal/wire/standby.go
@@ -59,4 +59,13 @@
 	Agreed     int    `json:"format"` // the newest format that it sees all controllers read
 	Served     bool   `json:"state_service"`
 	PauseMS    int64  `json:"pause_ms"` // that the present leader leads before it is replaced early
+
+	// Of the decision log, at the leader: how many messages and changed facts the standby
+	// is behind, and how often the log began anew.
+	LogMessages uint64 `json:"log_messages_behind"`
+	LogFacts    int    `json:"log_facts_behind"`
+	LogResyncs  int    `json:"log_resyncs"`
+	// At a follower: the facts that it holds of the present leader, and messages dropped.
+	LogHeld    int `json:"log_facts_held"`
+	LogDropped int `json:"log_messages_dropped"`
 }
--- a/internal/world/takeover.go
+++ b/internal/world/takeover.go
@@ -22,6 +22,7 @@
 	endNext      time.Duration // for how long the next to claim ends at once; 0: it does not
 	standby      string        // that the last heartbeat named
 	heartbeats   int
+	logBytes     int           // of facts that leaders have sent their standbys
 	lostClaims   int           // claims that failed as another had been carried out
 	disconnected time.Duration // how long the end of a connection takes to be seen
 }
@@ -151,6 +152,34 @@
 	}
 }
 
+// sendLog carries a message of the decision log to the standby, and its answer back.
+func (n *node) sendLog(x core.SendLog) {
+	w, t := n.w, n.w.takeovers
+	delay := func() time.Duration { return time.Millisecond + time.Duration(t.rng.IntN(6000))*time.Microsecond }
+	lost := func(m *node) bool {
+		return w.cut(n.label, n.zone, m.label, m.zone) || w.now < w.lossTo && t.rng.Float64() < w.loss
+	}
+	for _, m := range w.nodes {
+		if m.label != x.To || lost(m) {
+			continue
+		}
+		t.logBytes += len(x.Msg.Facts)
+		life, sender := m.life, n.life
+		w.after(delay(), func() {
+			if m.life != life || !m.up {
+				return
+			}
+			m.req++
+			m.wait[m.req] = func(r core.Reply) {
+				if n.life == sender && !lost(m) {
+					n.deliver(delay(), core.LogAcknowledged{Ack: r.Body.(wire.DecisionLogAck)})
+				}
+			}
+			m.step(core.LogReceived{Req: m.req, Msg: x.Msg})
+		})
+	}
+}
+
 // disconnect tells the peers of a controller that has ended that their connections broke.
 func (w *World) disconnect(n *node) {
 	for _, m := range w.nodes {
--- a/internal/world/takeover_test.go
+++ b/internal/world/takeover_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
+
+	"micaport/internal/wire"
 )
 
 // earlySite is a simulated site of five controllers with early takeovers and work.
@@ -68,3 +73,112 @@
 		}
 	}
 }
+
+// decisionsOf lists what a leader alone knows, with times of the world's clock.
+func decisionsOf(n *node) map[string]wire.Fact {
+	facts := map[string]wire.Fact{}
+	for _, f := range n.core.Decisions() {
+		if f.At != 0 {
+			f.At = int64(float64(f.At)/n.drift) + n.boot.Milliseconds()
+		}
+		facts[fmt.Sprintf("%d %s", f.Kind, f.Name)] = f
+	}
+	return facts
+}
+
+// crowdedSite has two large gangs that wait while smaller work fills every machine, and no
+// more machines are to be had.
+func crowdedSite(seed uint64, trace func(string, ...any)) *World {
+	s := Defaults()
+	s.Seed, s.Nodes, s.EarlyTakeover, s.Capacity, s.Zones = seed, []string{"a", "a", "a", "a", "a"}, true, 6, []string{"a"}
+	w := New(s, trace)
+	for _, line := range []string{
+		"bulk 290 0 frames=1 run=5 ordinary team=wide class=small",
+		"bulk 290 0 frames=1 run=8 ordinary team=huge class=urgent urgency=high",
+	} {
+		words := strings.Fields(line)
+		must(w.command(words[0], words[1:]))
+	}
+	w.after(30*time.Second, func() {
+		must(w.submitLine(strings.Fields("wk-000001 shape=gang frames=5 cards=2 cores=14 ordinary run=30 class=large one_zone")))
+	})
+	w.after(31*time.Second, func() {
+		must(w.submitLine(strings.Fields("wk-000002 shape=gang frames=5 cards=2 cores=14 ordinary run=30 class=large one_zone team=wide")))
+	})
+	return w
+}
+
+// settledDecisions runs until the leader keeps machines for a gang and has decided nothing
+// new for a while, so that its standby must have heard all of it.
+func settledDecisions(w *World) (leader *node, facts map[string]wire.Fact) {
+	const quiet = 300 * time.Millisecond
+	since := w.now
+	for w.now < 140*time.Second {
+		w.Run(w.now + 10*time.Millisecond)
+		leader = w.nodes[w.controller("leader")]
+		now, kept := decisionsOf(leader), false
+		for _, f := range now {
+			kept = kept || f.Kind == wire.FactKept
+		}
+		if !maps.Equal(now, facts) {
+			facts, since = now, w.now
+		}
+		if kept && w.now-since >= quiet {
+			break
+		}
+	}
+	return leader, facts
+}
+
+// The next leader goes on from what only the last one knew: estimates of boots, pools
+// without machines, machines kept for the gang that has waited longest. That gang keeps its
+// place: it is granted before the other.
+func TestTakeoverGoesOnFromTheLog(t *testing.T) {
+	compared := map[wire.FactKind]int{}
+	for seed := range uint64(4) {
+		var granted []string // the gangs, in the order in which they were granted
+		w := crowdedSite(seed+1, func(_ string, args ...any) {
+			if text := fmt.Sprint(args...); strings.Contains(text, "granted[job wk-00000") || strings.Contains(text, "granted [job wk-00000") {
+				granted = append(granted, regexp.MustCompile(`wk-\d+`).FindString(text))
+			}
+		})
+		w.Run(104 * time.Second)
+		old, before := settledDecisions(w)
+		w.Crash(old.ix, 8*time.Second)
+		for w.takeovers.early() == 0 && w.now < 150*time.Second {
+			w.Run(w.now + 10*time.Millisecond)
+		}
+		w.Run(w.now + 60*time.Millisecond) // its watch shows its claim; it has made no pass
+		first := ""
+		after := decisionsOf(w.nodes[w.controller("leader")])
+		for key, f := range before {
+			got, known := after[key]
+			if !known && (f.Kind == wire.FactBackoff || f.Kind == wire.FactPreemptedAt) && f.At < w.now.Milliseconds() {
+				continue // over by now
+			}
+			if k := w.store.keys[wire.JobKey(f.Name)]; !known && k != nil && decode(wire.JobKey(f.Name), k.raw).(*wire.Job).State != wire.Live {
+				continue // the job has ended meanwhile
+			}
+			if f.Kind == wire.FactKept {
+				first = f.Ref
+			}
+			if off := got.At - f.At; !known || off < -50 || off > 50 {
+				t.Errorf("seed %d: %+v became %+v", seed, f, got)
+			}
+			if got.At = f.At; known && got != f {
+				t.Errorf("seed %d: %+v became %+v", seed, f, got)
+			}
+			compared[f.Kind]++
+		}
+		w.Run(300 * time.Second)
+		if len(granted) == 0 || granted[0] != first || w.users[first].begun == 0 || len(w.Broken) > 0 {
+			t.Errorf("seed %d: granted %v, machines were kept for %s, which began at %v; %v", seed, granted, first, w.users[first].begun, w.Broken)
+		}
+	}
+	t.Log("facts compared by kind:", compared)
+	for _, kind := range []wire.FactKind{wire.FactBoot, wire.FactBlocked, wire.FactKept, wire.FactBackoff} {
+		if compared[kind] == 0 {
+			t.Errorf("no fact of kind %d was compared", kind)
+		}
+	}
+}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -471,6 +471,8 @@
 		n.send(x)
 	case core.Heartbeat:
 		n.heartbeat(x)
+	case core.SendLog:
+		n.sendLog(x)
 	case core.Forward:
 		n.forward(x)
 	case core.Log:
