--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -37,42 +37,57 @@
 	return max(time.Second, min(each, 3*time.Second))
 }
 
+// renewalRetry lies between two requests for a lease while they are not answered with one.
+const renewalRetry = 500 * time.Millisecond
+
 // renew keeps both leases alive and makes new ones when they have ended.
 func (n *Node) renew() {
-	for _, l := range []*lease{&n.partLease, &n.leadLease} {
-		if l.waiting || n.now < l.next {
-			continue
-		}
-		if l == &n.leadLease && n.loaded && !n.leads() && n.leader.rec != nil && n.leader.rec.Node != n.cfg.Self && !n.wantsLeadLease() {
-			// While another leads there is nothing to claim; requests are
-			// scarce. By the time it is needed the old one may have ended.
+	if l := &n.partLease; n.renewalDue(l) {
+		n.sendRenewal(l)
+	}
+	if l := &n.leadLease; n.renewalDue(l) {
+		if n.anotherLeads() && !n.wantsLeadLease() {
+			// There is nothing to claim; requests are scarce. By the time it is needed
+			// the old one may have ended.
 			if n.now-l.sent > l.ttl/2 {
 				l.id = 0
 			}
-			continue
+			return
 		}
-		l.waiting = true
-		sent, was := n.now, l.id
-		id := n.id(func(in Result) {
-			r := in.(Leased)
-			n.storeHeard(r.Outcome)
-			l.waiting = false
-			l.next = n.now + 500*time.Millisecond
-			switch r.Outcome {
-			case OK:
-				if was == 0 {
-					l.id = r.Lease
-				}
-				l.sent = sent
-				l.next = sent + min(l.ttl/4, n.proofPause())
-			case Missing:
-				l.id, l.next = 0, n.now
-			}
-		})
-		n.emit(Lease{ID: id, Lease: was, TTL: l.ttl})
+		n.sendRenewal(l)
 	}
 }
 
+func (n *Node) renewalDue(l *lease) bool { return !l.waiting && n.now >= l.next }
+
+// anotherLeads tells whether the records name another controller as the leader.
+func (n *Node) anotherLeads() bool {
+	return n.loaded && !n.leads() && n.leader.rec != nil && n.leader.rec.Node != n.cfg.Self
+}
+
+// sendRenewal extends a lease, or makes one.
+func (n *Node) sendRenewal(l *lease) {
+	l.waiting = true
+	sent, was := n.now, l.id
+	id := n.id(func(in Result) {
+		r := in.(Leased)
+		n.storeHeard(r.Outcome)
+		l.waiting = false
+		l.next = n.now + renewalRetry
+		switch r.Outcome {
+		case OK:
+			if was == 0 {
+				l.id = r.Lease
+			}
+			l.sent = sent
+			l.next = sent + min(l.ttl/4, n.proofPause())
+		case Missing:
+			l.id, l.next = 0, n.now
+		}
+	})
+	n.emit(Lease{ID: id, Lease: was, TTL: l.ttl})
+}
+
 // runChecks proves every couple of seconds that we still hold what we act on.
 func (n *Node) runChecks() {
 	if n.now < n.checkAt {
--- /dev/null
+++ b/internal/world/effects.go
@@ -0,0 +1,231 @@
+package world
+
+import (
+	"time"
+
+	"micaport/internal/core"
+	"micaport/internal/wire"
+)
+
+// What a controller wants done, carried out against the models: lost, late or refused.
+
+// fate decides what becomes of a request: whether and when it is carried
+// out, and whether the answer arrives.
+func (w *World) fate() (carried time.Duration, runs, answered bool) {
+	if w.now < w.lossTo {
+		x := w.rng.Float64()
+		switch {
+		case x < w.late:
+			return time.Duration(w.rng.IntN(60000)) * time.Millisecond, true, false
+		case x < w.late+w.loss/2:
+			return 0, false, false
+		case x < w.late+w.loss:
+			return w.latency(), true, false
+		}
+	}
+	return w.latency(), true, true
+}
+
+// patience is how long a controller waits for the state service or the cloud.
+const patience = 1500 * time.Millisecond
+
+// call runs a request of a controller against a service.
+func (n *node) call(fate func() (time.Duration, bool, bool), run func() core.Input, lost core.Input, refused func() core.Input) {
+	w := n.w
+	if r := refused(); r != nil {
+		n.deliver(w.latency(), r)
+		return
+	}
+	d, runs, answered := fate()
+	answered = answered && d < patience
+	life := n.life
+	if runs {
+		w.after(d, func() {
+			in := run()
+			if answered && n.life == life {
+				n.deliver(w.latency(), in)
+			}
+		})
+	}
+	if !answered {
+		n.deliver(patience, lost)
+	}
+}
+
+// perform carries out an effect of the core.
+func (n *node) perform(e core.Effect) {
+	w := n.w
+	switch x := e.(type) {
+	case core.Commit:
+		n.commit(x)
+	case core.Read:
+		n.read(x)
+	case core.Lease:
+		n.call(w.storeFate, func() core.Input {
+			out, id := w.store.lease(x.Lease, x.TTL)
+			return core.Leased{ID: x.ID, Outcome: out, Lease: id}
+		}, core.Leased{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.Leased{ID: x.ID, Outcome: core.Refused}))
+	case core.Cloud:
+		n.callCloud(x)
+	case core.Direct:
+		n.order(x)
+	case core.Send:
+		n.send(x)
+	case core.Heartbeat:
+		n.heartbeat(x)
+	case core.SendLog:
+		n.sendLog(x)
+	case core.Forward:
+		n.forward(x)
+	case core.Log:
+		w.trace("%8.3f %s %s %v", w.now.Seconds(), n.label, x.Text, x.Args)
+	case core.Reply:
+		if f := n.wait[x.Req]; f != nil {
+			delete(n.wait, x.Req)
+			f(x)
+		}
+	}
+}
+
+// unlessRefused gives the answer to a request that the state service refuses at once.
+func (n *node) unlessRefused(refusal core.Input) func() core.Input {
+	return func() core.Input {
+		if n.w.store.refuses(n) {
+			return refusal
+		}
+		return nil
+	}
+}
+
+// commit sends a transaction to the state service.
+func (n *node) commit(x core.Commit) {
+	w := n.w
+	puts := encodeWrites(x.Writes)
+	n.call(w.writeFate(len(puts)), func() core.Input {
+		refused := w.meter.refused
+		out, rev, failed := w.store.commit(n, x.If, puts)
+		return core.Committed{ID: x.ID, Outcome: out, Rev: rev, Failed: failed, Limited: w.meter.refused > refused}
+	}, core.Committed{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.Committed{ID: x.ID, Outcome: core.Refused}))
+}
+
+// read fetches the record of a job.
+func (n *node) read(x core.Read) {
+	w := n.w
+	n.call(w.storeFate, func() core.Input {
+		r := core.GotJob{ID: x.ID, Outcome: core.Missing}
+		if k := w.store.keys[wire.JobKey(x.Ref)]; k != nil {
+			r.Outcome, r.Rev, r.Job = core.OK, k.rev, new(wire.Job)
+			must(wire.Decode(k.raw, r.Job))
+		}
+		return r
+	}, core.GotJob{ID: x.ID, Outcome: core.Unknown}, n.unlessRefused(core.GotJob{ID: x.ID, Outcome: core.Refused}))
+}
+
+// callCloud sends a call to the cloud.
+func (n *node) callCloud(x core.Cloud) {
+	w := n.w
+	if x.Hire != nil || x.Return != nil {
+		if w.staleLeader(n) {
+			w.broke("stale_leader", "%s deals with the cloud", n.label)
+		}
+		w.takeovers.calls(n)
+	}
+	n.call(w.fate, func() core.Input { return w.cloud.call(x) }, core.Clouded{ID: x.ID, Outcome: core.Unknown}, func() core.Input {
+		if w.cut(n.label, n.zone, "cloud", "") {
+			return core.Clouded{ID: x.ID, Outcome: core.Unknown}
+		}
+		if w.cloud.outage {
+			return core.Clouded{ID: x.ID, Outcome: core.Refused}
+		}
+		return nil
+	})
+}
+
+// send carries a message to a peer.
+func (n *node) send(x core.Send) {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.label != x.To || w.cut(n.label, n.zone, m.label, m.zone) {
+			continue
+		}
+		if w.now < w.lossTo && w.rng.Float64() < w.loss {
+			continue
+		}
+		msg := *x.Msg
+		if raw, err := wire.Encode(x.Msg); err == nil {
+			w.meter.bytes += len(raw)
+		}
+		m.deliver(w.latency(), core.Gossiped{Msg: &msg})
+	}
+}
+
+// order carries orders to a worker's own address. What is held back or comes
+// late may be obeyed long after the sender has given up, and twice.
+func (n *node) order(x core.Direct) {
+	w := n.w
+	var k *workerSim
+	for _, y := range w.workers {
+		if y.m.Addr == x.Addr {
+			k = y
+		}
+	}
+	says := func(d time.Duration, o core.Outcome) { n.deliver(d, core.Directed{ID: x.ID, Outcome: o}) }
+	if k == nil || k.off || w.now < k.deafTo {
+		says(700*time.Millisecond, core.Refused)
+		return
+	}
+	if w.cut(k.m.Name, k.m.Zone, n.label, n.zone) {
+		if !w.holds(k.m.Name, k.m.Zone, n.label, n.zone) || w.rng.IntN(2) == 0 {
+			says(700*time.Millisecond, core.Refused)
+			return
+		}
+		// The connection stood already when the cut began.
+		says(3*time.Second, core.Unknown)
+		k.take(x.Orders, func() bool { return w.cut(k.m.Name, k.m.Zone, n.label, n.zone) }, func(core.Outcome) {})
+		return
+	}
+	d, runs, answered := w.fate()
+	life, told := n.life, false
+	tell := func(o core.Outcome) {
+		if answered && !told && n.life == life {
+			told = true
+			says(w.latency(), o)
+		}
+	}
+	if runs {
+		w.after(d, func() { k.take(x.Orders, nil, tell) })
+	}
+	if w.now < w.copiesTo {
+		w.after(time.Second+time.Duration(w.rng.Int64N(int64(w.copyDelay))), func() { k.take(x.Orders, nil, func(core.Outcome) {}) })
+	}
+	w.after(3*time.Second, func() {
+		if !told && n.life == life {
+			told = true
+			says(0, core.Unknown)
+		}
+	})
+}
+
+func (n *node) forward(x core.Forward) {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.label != x.To {
+			continue
+		}
+		if !m.up || w.cut(n.label, n.zone, m.label, m.zone) {
+			break
+		}
+		life := n.life
+		m.ask(func(req uint64) core.Input {
+			return core.UserRequest{Req: req, Kind: x.Call.Kind, Ref: x.Call.Ref, Body: x.Call.Body, Forwarded: true}
+		}, func(r core.Reply) {
+			b, err := wire.Encode(r.Body)
+			must(err)
+			if n.life == life {
+				n.deliver(w.latency(), core.Forwarded{Req: x.Req, Answer: wire.UserAnswer{Status: r.Status, Body: b}})
+			}
+		})
+		return
+	}
+	n.deliver(time.Second, core.Forwarded{Req: x.Req})
+}
