The right to call the cloud is extended for calls that wait for their turn

Proofs now extend it, by an absolute time and for their term alone; what can't be sent while the cloud is closed is not kept as a hire but planned anew.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -26,6 +26,7 @@
 	post  func(core.Input)
 
 	pressing atomic.Int32 // hires and returns on their way or waiting
+	right    atomic.Pointer[right]
 }
 
 // New makes a client that keeps below the cloud's request rate.
@@ -41,6 +42,27 @@
 	}
 }
 
+// right is until when calls of a term may be begun.
+type right struct {
+	term  uint64
+	until time.Time
+}
+
+// Allow lets hires and returns of a term be begun until a time, those that wait for their
+// turn included, and those of no other term.
+func (c *Client) Allow(term uint64, until time.Time) { c.right.Store(&right{term, until}) }
+
+// deadline is until when a hire or return may be begun.
+func (c *Client) deadline(q core.Cloud, decided time.Time) time.Time {
+	if q.Term == 0 {
+		return decided.Add(q.Within)
+	}
+	if r := c.right.Load(); r != nil && r.term == q.Term {
+		return r.until
+	}
+	return time.Time{}
+}
+
 // connectDeadline is the key of a context's value: when a call may no longer be begun.
 type connectDeadline struct{}
 
@@ -69,8 +91,9 @@
 			c.giveWay(ctx)
 		}
 		waited := c.limit.Wait(ctx)
-		begun := context.WithValue(ctx, connectDeadline{}, decided.Add(q.Within))
-		if late := (q.Hire != nil || q.Return != nil) && time.Since(decided) > q.Within; waited == nil && !late {
+		deadline := c.deadline(q, decided)
+		begun := context.WithValue(ctx, connectDeadline{}, deadline)
+		if late := (q.Hire != nil || q.Return != nil) && time.Now().After(deadline); waited == nil && !late {
 			switch {
 			case q.Flavors:
 				var f wire.Flavors
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -87,3 +87,25 @@
 		t.Errorf("sent: %v, got %+v", sent, r)
 	}
 }
+
+// A call that waits for its turn may be begun for as long as the right of its term lasts,
+// which later proofs extend, and not under another term.
+func TestCallsFollowTheRightOfTheirTerm(t *testing.T) {
+	now := time.Now()
+	c := New("127.0.0.1:1", 100, nil)
+	q := core.Cloud{Return: []string{"vm-1"}, Within: time.Second, Term: 7}
+	if d := c.deadline(q, now); !d.IsZero() {
+		t.Errorf("without a right it may be begun until %v", d)
+	}
+	for _, until := range []time.Time{now.Add(3 * time.Second), now.Add(4 * time.Second)} {
+		if c.Allow(7, until); !c.deadline(q, now).Equal(until) {
+			t.Errorf("until %v, not %v", c.deadline(q, now), until)
+		}
+	}
+	if c.Allow(9, now.Add(time.Minute)); !c.deadline(q, now).IsZero() {
+		t.Error("a call of an earlier term may be begun")
+	}
+	if q.Term = 0; !c.deadline(q, now).Equal(now.Add(time.Second)) {
+		t.Error("a call without a term follows another right")
+	}
+}
--- a/internal/core/hire.go
+++ b/internal/core/hire.go
@@ -70,6 +70,9 @@
 	// A process that stood still must not send what it decided before: another
 	// leads by then, and the machines may be in use.
 	c.Within = n.cloudRight()
+	if n.fenced() {
+		c.Term = n.leader.rev
+	}
 	n.emit(c)
 }
 
@@ -376,6 +379,9 @@
 	// Calls are scarce: what waits for one is better planned anew and asked
 	// for in larger numbers.
 	room := max(2, int(2*n.cfg.CloudRPS)) - len(c.hires)
+	if n.cloudRight() == 0 {
+		room = 0 // what can't be sent yet is planned anew until it can
+	}
 	for ; room > 0 && len(ask) > 0; room-- {
 		x := ask[0]
 		if len(p.up.all) == 0 {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -63,17 +63,18 @@
 	result()
 }
 
-func (Commit) effect()    {}
-func (Read) effect()      {}
-func (Lease) effect()     {}
-func (Cloud) effect()     {}
-func (Direct) effect()    {}
-func (Send) effect()      {}
-func (Heartbeat) effect() {}
-func (SendLog) effect()   {}
-func (Forward) effect()   {}
-func (Reply) effect()     {}
-func (Log) effect()       {}
+func (Commit) effect()       {}
+func (Read) effect()         {}
+func (Lease) effect()        {}
+func (Cloud) effect()        {}
+func (Direct) effect()       {}
+func (Send) effect()         {}
+func (CloudAllowed) effect() {}
+func (Heartbeat) effect()    {}
+func (SendLog) effect()      {}
+func (Forward) effect()      {}
+func (Reply) effect()        {}
+func (Log) effect()          {}
 
 func (Tick) input()              {}
 func (Reported) input()          {}
@@ -126,6 +127,15 @@
 		Hire    *wire.Hire
 		Return  []string
 		Within  Time // how long after this a hire or return may be sent
+		// Term, if not 0, is that of the claim under which the call was decided: it may be
+		// sent for as long as the last CloudAllowed says, also while it waits for its turn.
+		Term uint64
+	}
+	// CloudAllowed lets hires and returns of a term, and of no other, be sent until a time of
+	// the core's clock: a pause between the step and what carries this out prolongs nothing.
+	CloudAllowed struct {
+		Term  uint64
+		Until Time
 	}
 	// Direct sends orders to a worker's own address; Directed says what became
 	// of them.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -24,7 +24,7 @@
 	n.rev = max(n.rev, c.Rev)
 	n.leader.dirty = true
 	n.settleChecks()
-	n.standby.fence.Settle(n.rev)
+	n.settleProofs()
 	n.heldAt = 0
 	n.owner.settle(n)
 	n.leader.batch.settle(n)
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -179,11 +179,22 @@
 			n.abandonedTerm = term // replaced, though our watch does not show it yet
 		case c.Outcome == OK && sent >= n.resumedAt:
 			fence.Proven(sent, c.Rev)
-			fence.Settle(n.rev)
+			n.settleProofs()
 		}
 	})
 }
 
+// settleProofs lets those proofs count whose revision our copy has reached, and extends
+// the right of the calls that wait for their turn.
+func (n *Node) settleProofs() {
+	s := &n.standby
+	before := s.fence.Right(n.now)
+	s.fence.Settle(n.rev)
+	if right := s.fence.Right(n.now); n.fenced() && right > before { // before it opens, nothing is to be sent
+		n.emit(CloudAllowed{Term: n.leader.rev, Until: n.now + right})
+	}
+}
+
 // cloudRight is for how much longer the cloud may be asked to hire or return.
 func (n *Node) cloudRight() Time {
 	if !n.fenced() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,6 +245,8 @@
 		n.store.Lease(x)
 	case core.Cloud:
 		n.cloud.Call(x)
+	case core.CloudAllowed:
+		n.cloud.Allow(x.Term, n.start.Add(x.Until))
 	case core.Direct:
 		n.orders.Send(x)
 	case core.Send:
