--- a/internal/world/measure_takeover_test.go
+++ b/internal/world/measure_takeover_test.go
@@ -17,7 +17,7 @@
 var (
 	takeoverSites    = flag.Int("takeover.sites", 8, "how many sites of five controllers are measured at once")
 	takeoverFailures = flag.Int("takeover.failures", 13, "how many leaders of each site fail")
-	takeoverWorkers  = flag.Int("takeover.workers", 40, "how many workers each site has")
+	takeoverWorkers  = flag.Int("takeover.workers", 40, "how many workers each site has, of 400 at most")
 )
 
 // failureSpacing lies between two failures at a site: the streak of early takeovers ends
@@ -33,6 +33,7 @@
 	total  waits            // from the failure to the first decision
 	stages map[string]waits // from the last heartbeat, of early takeovers
 	early  int
+	up     []int // workers that were up at the end, by site
 	broken []string
 }
 
@@ -51,6 +52,7 @@
 	times, early := l.takeoverTimes()
 	s.total.Merge(times)
 	s.early += early
+	s.up = append(s.up, len(l.up()))
 	s.broken = append(s.broken, l.Broken...)
 	for _, x := range seen {
 		for i, ms := range x.StagesMS {
@@ -72,7 +74,7 @@
 				wait.Go(func() { measureSite(t, binary, failure, takeover, uint64(site), sample) })
 			}
 			wait.Wait()
-			t.Logf("%s, %s: %v; %d early; %d sites of 5 controllers and %d workers at once", failure, takeover, sample.total, sample.early, *takeoverSites, *takeoverWorkers)
+			t.Logf("%s, %s: %v; %d early; %d sites of 5 controllers at once, workers up at each %v", failure, takeover, sample.total, sample.early, *takeoverSites, sample.up)
 			for _, name := range stageNames {
 				if sample.stages[name].TotalCount() > 0 {
 					t.Logf("  %s: %v", name, sample.stages[name])
@@ -89,7 +91,7 @@
 func measureSite(t *testing.T, binary, failure, takeover string, seed uint64, sample *takeoverSample) {
 	const begin = 12 * time.Second
 	end := begin + time.Duration(*takeoverFailures)*failureSpacing
-	operator := operatorFile(t, "[standby]\ntakeover = "+takeover+"\n[placement]\nidle_return_s = 300\n")
+	operator := operatorFile(t, "[standby]\ntakeover = "+takeover+"\n[placement]\nidle_return_s = 600\n")
 	settings := takeoverSite(*takeoverWorkers)
 	settings.Seed = seed + 1
 	l, err := NewLoopback(settings, binary, t.TempDir(), operator, func(string, ...any) {})
@@ -99,6 +101,9 @@
 	}
 	defer l.Close()
 	rng := rand.New(rand.NewPCG(seed, 5))
+	l.after(time.Second, func() { // brings all workers up, and they stay
+		must(l.submitLine([]string{"wk-999999", "team=wide", fmt.Sprintf("frames=%d", *takeoverWorkers), "run=8", "cards=2", "gb=0"}))
+	})
 	l.submitSteadily(200*time.Millisecond, time.Second, end, rng)
 	for i := range *takeoverFailures {
 		l.after(begin+time.Duration(i)*failureSpacing+time.Duration(rng.IntN(1000))*time.Millisecond, func() {
