Review: each run of a case has loopback addresses of its own

Cause: two sites started in the same second could take ports from each other, so that users of one asked controllers of the other.

--- a/review/standin/controllers.go
+++ b/review/standin/controllers.go
@@ -148,10 +148,11 @@
 	return strings.Fields(string(found[1])), nil
 }
 
-// freeAddress returns a loopback address with a free port. Controllers listen on an address of
-// their own, so that no stand-in takes a port while a controller is away.
+// freeAddress returns an address with a free port, on a loopback IP address that only the
+// controllers of this run use: no stand-in and no other run takes a port while a controller is away.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+(pid>>8)%250, pid%256))
 	if err != nil {
 		return "", err
 	}
