A message that states a long list or map no longer ends a controller

Callers saw: a user who sent 25 bytes that are not MessagePack, a list that ends after its header, got no answer, and the controller ended with "out of memory"; the retries ended the others.

Cause: the MessagePack library allocates as many elements as a header states before it reads them, and wire.ParseJobSpec and wire.Decode gave it what came from users, workers, the cloud and the state service. The decision log checked the length of its outermost list only.

Change: wire.Decode reads all headers first, without allocating, and refuses a value that is shorter than they state (encoding_check.go); submissions and the decision log are decoded by it. As a value takes at least a byte, what is allocated is bounded by the bytes received. Extension types are refused, as the library looks for a map behind their header and the protocol has none.

--- a/internal/wire/decision_log.go
+++ b/internal/wire/decision_log.go
@@ -1,11 +1,8 @@
 package wire
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // This file defines the messages of the decision log, with which the leader replicates to its
@@ -57,23 +54,20 @@
 // ErrTooManyFacts is returned by DecodeFacts for a list whose encoded length exceeds the limit.
 var ErrTooManyFacts = errors.New("too many facts")
 
-// DecodeFacts decodes a list of at most limit facts that was encoded by Encode. It checks the
-// encoded length before it decodes the elements: the library would allocate memory for that many,
-// and a message of five bytes can give a length of 2^32 - 1.
+// DecodeFacts decodes a list of at most limit facts that was encoded by Encode. The error of a list
+// that is not decoded at all wraps ErrTooManyFacts, ErrTruncated or ErrNotInProtocol.
 func DecodeFacts(raw []byte, limit int) ([]Fact, error) {
-	decoder := msgpack.NewDecoder(bytes.NewReader(raw))
-	count, err := decoder.DecodeArrayLen()
+	scanner := encodingScanner{rest: raw}
+	count, err := scanner.skipHeader()
 	if err != nil {
 		return nil, fmt.Errorf("decode facts: %w", err)
 	}
-	if count > limit {
+	if count > uint64(limit) {
 		return nil, fmt.Errorf("%w: %d", ErrTooManyFacts, count)
 	}
-	facts := make([]Fact, max(0, count))
-	for i := range facts {
-		if err := decoder.Decode(&facts[i]); err != nil {
-			return nil, fmt.Errorf("decode fact %d: %w", i, err)
-		}
+	var facts []Fact
+	if err := Decode(raw, &facts); err != nil {
+		return nil, fmt.Errorf("facts: %w", err)
 	}
 	return facts, nil
 }
--- a/internal/wire/job_spec.go
+++ b/internal/wire/job_spec.go
@@ -6,8 +6,6 @@
 	"math"
 	"reflect"
 	"slices"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Limits on the fields of a submission.
@@ -45,7 +43,7 @@
 // of a known job does not depend on its other fields.
 func ParseJobSpec(body []byte) (jobID string, spec *JobSpec, err error) {
 	var fields map[string]any
-	if err := msgpack.Unmarshal(body, &fields); err != nil || fields == nil {
+	if err := Decode(body, &fields); err != nil || fields == nil {
 		return "", nil, ErrNotAMap
 	}
 	jobID, isText := fields["ref"].(string)
