Deeply nested messages no longer take tens of megabytes of stack

Cause: the MessagePack library calls itself for each level of lists and maps, also in fields that it skips.

ParseJobSpec decodes only the fields that it reads and skips the others without recursion, so that unknown fields are ignored whatever they contain.

Two kinds of unknown fields that were answered 400 are ignored now (TestParseJobSpecIgnoresUnknownFields).

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -17,7 +17,8 @@
 }
 
 // Decode decodes MessagePack into v, which must be a pointer. Encoded fields that v does not have
-// are ignored. The error of a value that is not decoded at all wraps ErrTruncated or ErrNotInProtocol.
+// are ignored. The error of a value that is not decoded at all wraps ErrTruncated, ErrTooDeeplyNested
+// or ErrNotInProtocol.
 func Decode(raw []byte, v any) error {
 	if err := checkEncoding(raw); err != nil {
 		return fmt.Errorf("decode: %w", err)
--- a/internal/wire/decision_log.go
+++ b/internal/wire/decision_log.go
@@ -55,7 +55,7 @@
 var ErrTooManyFacts = errors.New("too many facts")
 
 // DecodeFacts decodes a list of at most limit facts that was encoded by Encode. The error of a list
-// that is not decoded at all wraps ErrTooManyFacts, ErrTruncated or ErrNotInProtocol.
+// that is not decoded at all wraps ErrTooManyFacts or one of the errors of Decode.
 func DecodeFacts(raw []byte, limit int) ([]Fact, error) {
 	scanner := encodingScanner{rest: raw}
 	count, err := scanner.skipHeader()
--- a/internal/wire/encoding_check_test.go
+++ b/internal/wire/encoding_check_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"reflect"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -158,3 +160,78 @@
 		}
 	})
 }
+
+// nested returns an encoded value of some bytes in which each list or map contains the next one.
+func nested(header string, bytes int) string {
+	return strings.Repeat(header, bytes/len(header)) + "\xc0"
+}
+
+// Guards against a message of 64 KiB whose lists or maps contain each other, for which the decoder
+// took up to 32 MB of stack.
+func TestNestedValuesTakeNoStack(t *testing.T) {
+	const bodyBytes = 64_000
+	for name, decode := range decoders() {
+		for what, body := range map[string]string{
+			"lists":                     nested("\x91", bodyBytes),
+			"maps":                      nested("\x81\xa0", bodyBytes),
+			"lists in a known field":    "\x82\xa3ref\xa9wk-000500\xa4rigs" + nested("\x91", bodyBytes),
+			"lists in an unknown field": "\x82\xa3ref\xa9wk-000500\xa3new" + nested("\x91", bodyBytes),
+		} {
+			t.Run(name+"/"+what, func(t *testing.T) {
+				if grown := stackGrowth(func() {
+					if decode([]byte(body)) == nil {
+						t.Error("no error")
+					}
+				}); grown > 1<<20 {
+					t.Errorf("%d bytes take %d bytes of stack", len(body), grown)
+				}
+			})
+		}
+	}
+}
+
+// stackGrowth returns by how many bytes the stacks of the process have grown while a function ran in
+// a goroutine of its own.
+func stackGrowth(function func()) uint64 {
+	runtime.GC() // returns the stacks of earlier goroutines
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		function()
+		runtime.ReadMemStats(&after)
+	}()
+	<-done
+	return after.StackInuse - min(before.StackInuse, after.StackInuse)
+}
+
+// The levels of nesting that messages need are far below the limit, which is inclusive.
+func TestNestingLimit(t *testing.T) {
+	if err := checkEncoding([]byte(nested("\x91", maxNesting-1))); err != nil {
+		t.Errorf("%d levels: %v", maxNesting, err)
+	}
+	if err := checkEncoding([]byte(nested("\x91", maxNesting))); !errors.Is(err, ErrTooDeeplyNested) {
+		t.Errorf("%d levels: %v, want %v", maxNesting+1, err, ErrTooDeeplyNested)
+	}
+}
+
+// A receiver ignores the fields that it does not know, whatever their names and contents.
+func TestParseJobSpecIgnoresUnknownFields(t *testing.T) {
+	_, want, err := ParseJobSpec(submission(t, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{
+		"nested lists": nested("\x91", 60_000), "a map with a number as name": "\x81\x07\xc0", "a map with a list as name": "\x81\x90\xc0",
+	} {
+		body := append(submission(t, nil), "\xa3new"+value...)
+		body[2]++ // map 16 has one more field
+		if body[0] != 0xde {
+			t.Fatalf("the submission begins with %#x, want a map with 16 bits for the length", body[0])
+		}
+		if _, spec, err := ParseJobSpec(body); err != nil || !reflect.DeepEqual(spec, want) {
+			t.Errorf("%s: got %+v, %v, want %+v", name, spec, err, want)
+		}
+	}
+}
--- a/internal/wire/job_spec.go
+++ b/internal/wire/job_spec.go
@@ -42,15 +42,15 @@
 // field. With a FieldError the job ID is returned too, since the response to a repeated submission
 // of a known job does not depend on its other fields.
 func ParseJobSpec(body []byte) (jobID string, spec *JobSpec, err error) {
-	var fields map[string]any
-	if err := Decode(body, &fields); err != nil || fields == nil {
+	fields, err := splitMap(body)
+	if err != nil {
 		return "", nil, ErrNotAMap
 	}
-	jobID, isText := fields["ref"].(string)
+	reader := fieldReader{fields: fields}
+	jobID, isText := reader.value("ref").(string)
 	if !isText || !ValidJobID(jobID) {
 		return "", nil, ErrNoJobID
 	}
-	reader := fieldReader{fields: fields}
 	spec = reader.jobSpec(jobID)
 	if reader.err != nil {
 		return jobID, nil, reader.err
@@ -58,10 +58,11 @@
 	return jobID, spec, nil
 }
 
-// fieldReader reads the fields of a decoded map. It records the error of the first field that is
-// missing or invalid; the value that it returns for such a field must not be used.
+// fieldReader reads the fields of a map, and decodes only those that are read. It records the error
+// of the first field that is missing or invalid; the value that it returns for such a field must not
+// be used.
 type fieldReader struct {
-	fields map[string]any
+	fields map[string][]byte // encoded values
 	err    error
 }
 
@@ -109,12 +110,26 @@
 	}
 }
 
+// value decodes a field. It returns nil if the field is absent or null, or can't be decoded, which
+// makes the field invalid.
+func (r *fieldReader) value(field string) any {
+	encoded, isPresent := r.fields[field]
+	if !isPresent {
+		return nil
+	}
+	var value any
+	if err := Decode(encoded, &value); err != nil {
+		r.reject(field)
+	}
+	return value
+}
+
 // has reports whether a field is present and not null.
-func (r *fieldReader) has(field string) bool { return r.fields[field] != nil }
+func (r *fieldReader) has(field string) bool { return r.value(field) != nil }
 
 // text reads a name that is not empty.
 func (r *fieldReader) text(field string) string {
-	value, isText := r.fields[field].(string)
+	value, isText := r.value(field).(string)
 	if !isText || value == "" || len(value) > maxTextBytes {
 		r.reject(field)
 	}
@@ -131,7 +146,7 @@
 }
 
 func (r *fieldReader) flag(field string) bool {
-	value, isBool := r.fields[field].(bool)
+	value, isBool := r.value(field).(bool)
 	if !isBool {
 		r.reject(field)
 	}
@@ -140,7 +155,7 @@
 
 // quantity reads a number that is not negative.
 func (r *fieldReader) quantity(field string) float64 {
-	value, isNumber := toFloat64(r.fields[field])
+	value, isNumber := toFloat64(r.value(field))
 	if !isNumber || math.IsNaN(value) || value < 0 || value > maxQuantity {
 		r.reject(field)
 	}
@@ -150,10 +165,10 @@
 // count reads an integer from low to high. A floating-point number is rejected even if its value
 // is integral.
 func (r *fieldReader) count(field string, low, high int) int {
-	if _, isDouble := r.fields[field].(float64); isDouble {
+	if _, isDouble := r.value(field).(float64); isDouble {
 		r.reject(field)
 	}
-	value, isNumber := toFloat64(r.fields[field])
+	value, isNumber := toFloat64(r.value(field))
 	if !isNumber || value < float64(low) || value > float64(high) || value != math.Trunc(value) {
 		r.reject(field)
 		return 0
@@ -163,7 +178,7 @@
 
 // list reads a list of any values.
 func (r *fieldReader) list(field string) []any {
-	values, isList := r.fields[field].([]any)
+	values, isList := r.value(field).([]any)
 	if !isList {
 		r.reject(field)
 	}
