A record that states too many tasks or keys is refused

Cause: a run of active tasks was limited to 100,000, but a record may have many runs; the numbers of overflow and dependency list keys, for which the replica loops, were not checked.

Change: the limit holds for all runs of a list together, and DecodeRecord checks the counts of a job's record; a single record that is read goes the same way.

--- a/internal/store/requests.go
+++ b/internal/store/requests.go
@@ -111,10 +111,11 @@
 		outcome := c.call(ctx, core.ClassUser, http.MethodGet, "/store/"+wire.JobKey(request.JobID), nil, &answer)
 		result := core.JobRead{ID: request.ID, Outcome: outcome, Revision: answer.KeyRevision}
 		if outcome == kv.OK {
-			result.Job = new(wire.Job)
-			if err := wire.Decode(answer.Value, result.Job); err != nil {
+			record, err := wire.DecodeRecord(wire.JobKey(request.JobID), answer.Value)
+			if err != nil {
 				result.Outcome = kv.Unknown
 			}
+			result.Job, _ = record.(*wire.Job)
 		}
 		c.post(result)
 	})
--- a/internal/wire/active_task_codec.go
+++ b/internal/wire/active_task_codec.go
@@ -117,8 +117,8 @@
 	if err := decoder.DecodeMulti(&task.Task, &task.Attempt, &task.Machine, &count); err != nil {
 		return err
 	}
-	if count < 1 || count > MaxTasks {
-		return fmt.Errorf("run of %d tasks, want 1 to %d", count, MaxTasks)
+	if count < 1 || count > MaxTasks-len(*l) {
+		return fmt.Errorf("run of %d tasks after %d others, want 1 to %d in all", count, len(*l), MaxTasks)
 	}
 	for range count {
 		*l = append(*l, task)
--- a/internal/wire/job_record.go
+++ b/internal/wire/job_record.go
@@ -1,5 +1,7 @@
 package wire
 
+import "fmt"
+
 // JobState is the state of a job's record.
 type JobState int
 
@@ -32,6 +34,17 @@
 	DependencyListKeys int    `msgpack:"nk,omitempty"` // number of keys, numbered from 1 on
 }
 
+// checkCounts returns an error if a count in the record exceeds MaxTasks: a job has at most that many
+// tasks, and each of its keys holds at least one task or dependency. Counts govern loops.
+func (j *Job) checkCounts() error {
+	for _, count := range []int{j.TaskCount, j.OverflowKeys, j.DependencyListKeys} {
+		if count < 0 || count > MaxTasks {
+			return fmt.Errorf("count %d, want 0 to %d", count, MaxTasks)
+		}
+	}
+	return nil
+}
+
 // HasDependencies reports whether the job was submitted with dependencies on other jobs.
 func (j *Job) HasDependencies() bool {
 	return j.DependencyList != "" || j.Spec != nil && len(j.Spec.Dependencies) > 0
--- a/internal/wire/record.go
+++ b/internal/wire/record.go
@@ -69,6 +69,9 @@
 		return nil, nil
 	}
 	err := Decode(raw, record)
+	if job, isJob := record.(*Job); isJob && err == nil {
+		err = job.checkCounts()
+	}
 	if err == nil {
 		return record, nil
 	}
--- a/internal/wire/record_test.go
+++ b/internal/wire/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -59,3 +60,26 @@
 		}
 	}
 }
+
+// Guards against a record of a few bytes that states many tasks or keys, for which a controller
+// allocated memory or looped without end.
+func TestDecodeRecordRefusesLargeCounts(t *testing.T) {
+	const tooMany = 100_001 // the protocol's limit on the tasks of a job and one more
+	run := []any{0, 1, "vm-1", 50_000}
+	for name, fields := range map[string]map[string]any{
+		"tasks":                {"n": tooMany},
+		"overflow keys":        {"mo": tooMany},
+		"dependency list keys": {"nk": tooMany},
+		"a negative number":    {"mo": -1},
+		"tasks of three runs":  {"ac": []any{[]any{0, 1, 0, slices.Concat(run, run, run)}}},
+		"tasks of two groups":  {"ac": []any{[]any{0, 1, 0, slices.Concat(run, run)}, []any{1, 1, 0, run}}},
+	} {
+		if record, err := DecodeRecord(JobKey("wk-1"), mustEncode(t, fields)); err == nil {
+			t.Errorf("%s: read as %d tasks", name, len(record.(*Job).ActiveTasks))
+		}
+	}
+	whole := map[string]any{"n": 100_000, "ac": []any{[]any{0, 1, 0, slices.Concat(run, run)}}}
+	if record, err := DecodeRecord(JobKey("wk-1"), mustEncode(t, whole)); err != nil || len(record.(*Job).ActiveTasks) != 100_000 {
+		t.Errorf("a job of 100,000 tasks: %v", err)
+	}
+}
