The deadline of a long pipeline no longer stops every controller

Cause: replica.propagateUrgency passed the deadline to the ancestors depth first and visited a job and all its ancestors anew whenever its deadline became earlier. Where a longer path is found after a shorter one at each stage, the visits double with each stage.

Change: linked jobs have ranks above those of their dependencies. The urgency of what the events of a batch have linked is propagated at their end, in descending order of rank (urgency.go): a job is visited at most once, after its dependents, and only if its urgency has changed. Listings, in which records come in the order of keys, rank all linked jobs anew once. The result is the same, as priorities only rise and deadlines only become earlier.

--- a/internal/replica/dependencies.go
+++ b/internal/replica/dependencies.go
@@ -14,6 +14,9 @@
 	ReadyAt           Time  // when the replica first showed that all dependencies are done; 0: not yet
 	ReadyMS           int64 // ReadyAt as wall-clock time, Unix ms
 	DeadlineMS        int64 // wall-clock time (Unix ms) by which the job has to be done, for its own deadline or those of its dependents; 0: none
+
+	rank   int  // higher than the ranks of its dependencies
+	queued bool // a linkQueue has the job
 }
 
 // IsBlocked reports whether no task of the job may be granted, because a dependency is not done
@@ -48,13 +51,15 @@
 	return j.Links
 }
 
-// linkDependencies links a job to its dependencies when its record is first applied.
+// linkDependencies links a job to its dependencies when its record is first applied. MarkApplied then
+// propagates its urgency.
 func (r *Replica) linkDependencies(job *Job) {
 	if job.Record.HasDependencies() {
 		r.addDependencies(job)
 	}
 	if job.Links != nil {
-		r.propagateUrgency(job)
+		r.rankLinkedJob(job)
+		r.linkedJobs = append(r.linkedJobs, job)
 	}
 }
 
@@ -106,6 +111,7 @@
 		return
 	}
 	for _, index := range links.Dependents {
+		r.visitedLinks++
 		dependent := r.jobs[index]
 		if dependent.Links == nil {
 			continue // the dependent is finished
@@ -132,6 +138,7 @@
 		links.AncestorCancelled = true
 		r.unrecordedCancellations = append(r.unrecordedCancellations, job.Index)
 		for _, index := range links.Dependents {
+			r.visitedLinks++
 			stack = append(stack, r.jobs[index])
 		}
 	}
@@ -156,47 +163,3 @@
 func (r *Replica) RequeueFirstUnrecordedCancellation() {
 	r.unrecordedCancellations = append(r.unrecordedCancellations[1:], r.unrecordedCancellations[0])
 }
-
-// propagateUrgency raises the priority and tightens the deadline of all ancestors of a job,
-// so that the job can run with its own priority and start early enough for its deadline.
-// Users set both only on the last job of a chain. An ancestor's own dependencies are visited
-// only if its priority or its deadline has changed.
-func (r *Replica) propagateUrgency(job *Job) {
-	for stack := []*Job{job}; len(stack) > 0; {
-		job, stack = stack[len(stack)-1], stack[:len(stack)-1]
-		if job.Record == nil || job.Record.Spec == nil {
-			continue // linkDependencies continues when the record is first applied
-		}
-		links, spec := job.Links, job.Record.Spec
-		if ownDeadlineMS := job.Record.AcceptedAtMS + int64(spec.DeadlineS*1000); spec.DeadlineS > 0 && (links.DeadlineMS == 0 || ownDeadlineMS < links.DeadlineMS) {
-			links.DeadlineMS = ownDeadlineMS
-		}
-		var latestStartMS int64 // deadline of the dependencies; 0: none
-		if links.DeadlineMS != 0 {
-			latestStartMS = links.DeadlineMS - r.cfg.EstimateRunTime(spec).Milliseconds() - r.cfg.HeartbeatInterval.Milliseconds()
-		}
-		for _, index := range links.Dependencies {
-			if dependency := r.jobs[index]; r.raiseUrgency(dependency, job.Priority, latestStartMS) {
-				stack = append(stack, dependency)
-			}
-		}
-	}
-}
-
-// raiseUrgency raises the priority of a job to at least the given one, and moves its deadline
-// to the given one if that is earlier; 0 is no deadline. It reports whether it changed
-// anything.
-func (r *Replica) raiseUrgency(job *Job, priority int, deadlineMS int64) bool {
-	if job.Links == nil || job.Record != nil && job.Record.State != wire.JobLive {
-		return false
-	}
-	changed := false
-	if job.Priority < priority {
-		job.Priority, changed = priority, true
-		r.observer.PriorityRaised(job)
-	}
-	if links := job.Links; deadlineMS != 0 && (links.DeadlineMS == 0 || deadlineMS < links.DeadlineMS) {
-		links.DeadlineMS, changed = deadlineMS, true
-	}
-	return changed
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -92,6 +92,10 @@
 	overflow              map[string]map[int]wire.ActiveTasks // by job id and number of the key
 	stagedDependencyLists map[string]map[string][]string      // by job id and key, until the job's record is applied
 
+	linkedJobs    []*Job // linked since urgency was last propagated
+	ranksOutdated bool   // the rank of a job may not be above those of its dependencies
+	visitedLinks  uint64 // see VisitedLinks
+
 	unrecordedCancellations []int // queue of jobs that are cancelled by an ancestor, whose records may not show it yet
 
 	ledger *quota.Ledger // accounts of the teams and the charges to them
@@ -120,9 +124,10 @@
 // Revision returns the revision of the state service up to which events have been applied.
 func (r *Replica) Revision() uint64 { return r.revision }
 
-// MarkApplied records that all events up to a revision have been applied. fullListing is set if
-// they were those of a full listing.
+// MarkApplied records that all events up to a revision have been applied, and completes what they
+// have changed. fullListing is set if they were those of a full listing.
 func (r *Replica) MarkApplied(revision uint64, fullListing bool) {
+	r.propagateUrgency()
 	r.loaded = r.loaded || fullListing
 	r.revision = max(r.revision, revision)
 }
