A scheduling pass visits dependencies that are done once, not in every pass

Cause: planNextStages went through all dependencies of each waiting job in every pass, the done ones included.

Change: PendingDependencies remembers how many of a job's first dependencies are done, which is final.

--- a/internal/core/scheduler_stages.go
+++ b/internal/core/scheduler_stages.go
@@ -21,7 +21,7 @@
 	if job.Links.AncestorCancelled {
 		return false
 	}
-	for _, index := range job.Links.Dependencies {
+	for _, index := range n.replica.PendingDependencies(job.Job) {
 		dependency := n.jobs[index]
 		if dependency.Record == nil {
 			return false // the replica has no record of it
--- a/internal/core/scheduler_stages_test.go
+++ b/internal/core/scheduler_stages_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -104,3 +105,33 @@
 		t.Errorf("latest start of a job outside a chain = %d, want none", got)
 	}
 }
+
+// Guards against a leader that goes through all dependencies of all waiting jobs in each pass: those
+// that are done are visited in one pass only.
+func TestPlanningVisitsDoneDependenciesOnce(t *testing.T) {
+	const dependencies, waitingJobs = 200, 50
+	n := newTestNode()
+	makeLeader(n)
+	revision := 1000
+	apply := func(id string, state wire.JobState, dependencies ...string) {
+		revision++
+		applyJobRecord(n, revision, id, state, nil, dependencies...)
+	}
+	var ids []string
+	for i := range dependencies {
+		ids = append(ids, fmt.Sprintf("wk-%06d", i))
+		apply(ids[i], wire.JobLive)
+	}
+	for i := range waitingJobs {
+		apply(fmt.Sprintf("wk-%06d", 1000+i), wire.JobLive, ids...)
+	}
+	for _, id := range ids[:dependencies-1] {
+		apply(id, wire.JobDone)
+	}
+	countPlannedMachines(t, n)
+	before := n.replica.VisitedLinks()
+	countPlannedMachines(t, n)
+	if visited := n.replica.VisitedLinks() - before; visited > waitingJobs {
+		t.Errorf("a further pass visits %d links, want at most one for each of %d jobs", visited, waitingJobs)
+	}
+}
--- a/internal/replica/dependencies.go
+++ b/internal/replica/dependencies.go
@@ -15,8 +15,9 @@
 	ReadyMS           int64 // ReadyAt as wall-clock time, Unix ms
 	DeadlineMS        int64 // wall-clock time (Unix ms) by which the job has to be done, for its own deadline or those of its dependents; 0: none
 
-	rank   int  // higher than the ranks of its dependencies
-	queued bool // a linkQueue has the job
+	rank      int  // higher than the ranks of its dependencies
+	queued    bool // a linkQueue has the job
+	doneFirst int  // dependencies that are known to be done, from the first one on
 }
 
 // IsBlocked reports whether no task of the job may be granted, because a dependency is not done
@@ -43,6 +44,20 @@
 	return j.Links.ReadyAt
 }
 
+// PendingDependencies returns the indices of a job's dependencies from the first one on that is not
+// done. As "done" is final, it visits each dependency before that one in one call only. The caller
+// must not change the slice. The job must have links.
+func (r *Replica) PendingDependencies(job *Job) []int {
+	links := job.Links
+	for ; links.doneFirst < len(links.Dependencies); links.doneFirst++ {
+		r.visitedLinks++
+		if record := r.jobs[links.Dependencies[links.doneFirst]].Record; record == nil || record.State != wire.JobDone {
+			break
+		}
+	}
+	return links.Dependencies[links.doneFirst:]
+}
+
 // ensureLinks returns the links of a job and creates them if they don't exist yet.
 func (j *Job) ensureLinks() *DependencyLinks {
 	if j.Links == nil {
