A repeated submission no longer reads the records of all ancestors

A repeated submission of a job with hundreds of unfinished ancestors was answered 503 each time, and took a request of the state service for each of them.

Cause: answerFromAncestors read the ancestors' records one after the other, as the replica may lag.

Change: if the replica shows the job, the request is queued like a status query, and answered once the replica has reached the state service's revision. The ancestors are read only if the replica lags or does not show the job.

Tests: TestRepeatedSubmissionReadsNoAncestors fails before: 600 reads for a chain of 600 jobs, want 1. TestAnswerFromAncestors is about a replica that lags; the state service of its harness named the replica's own revision although its records were newer, so it showed no lag. It names a later one now, and the expected answers are the same.

--- a/internal/core/ancestor_search.go
+++ b/internal/core/ancestor_search.go
@@ -19,9 +19,14 @@
 }
 
 // answerFromAncestors answers a request for a job whose own record is live but which depends on
-// other jobs. It reads the records of the ancestors that the replica shows as live or not at
-// all, because the replica may lag.
+// other jobs, any of which may be cancelled. If the replica shows the job, it waits for the replica
+// to be recent enough, like a status query. If the replica lags or does not show the job, it reads
+// the records of the ancestors that the replica shows as live or not at all, one after the other.
 func (n *Node) answerFromAncestors(request *pendingRequest, record *wire.Job) {
+	if job := n.findJob(request.JobID); n.replica.Loaded() && job != nil && job.Record != nil && !request.awaitedReplica {
+		n.queueStatusQuery(request)
+		return
+	}
 	search := &ancestorSearch{request: request, record: record, seen: map[string]bool{}}
 	if search.addDependencies(n, request.JobID, record) {
 		search.visitNext(n)
--- a/internal/core/ancestor_search_test.go
+++ b/internal/core/ancestor_search_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -30,9 +31,11 @@
 		{"with a live ancestor", "wk-000006", wire.StatusPending},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			reply, wrote := runRequest(n, UserRequest{RequestID: 5, Kind: wire.RequestSubmit, Body: submissionBody(t, test.id)}, stored)
-			if reply == nil || reply.Status != http.StatusOK || reply.Body.(wire.JobStatus).Status != test.status || len(wrote) > 0 {
-				t.Errorf("answered with %+v, wrote %+v, want %s", reply, wrote, test.status)
+			run := requestRun{node: n, stored: stored, replicaLags: true}
+			run.step(UserRequest{RequestID: 5, Kind: wire.RequestSubmit, Body: submissionBody(t, test.id)})
+			run.waitForReply()
+			if reply := run.reply; reply == nil || reply.Status != http.StatusOK || reply.Body.(wire.JobStatus).Status != test.status || len(run.wrote) > 0 {
+				t.Errorf("answered with %+v, wrote %+v, want %s", reply, run.wrote, test.status)
 			}
 		})
 	}
@@ -52,3 +55,32 @@
 		t.Errorf("answered with %+v, want status %d", reply, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against a repeated submission that reads the records of all ancestors, one after the other,
+// and is not answered in time if there are hundreds: a replica that is recent enough answers it.
+func TestRepeatedSubmissionReadsNoAncestors(t *testing.T) {
+	const jobCount = 600
+	n := newTestNode()
+	stored := map[string]*wire.Job{}
+	var dependencies []string
+	for i := range jobCount {
+		id := fmt.Sprintf("wk-%d", i)
+		stored[id] = &wire.Job{TaskCount: 1, Spec: &wire.JobSpec{Shape: wire.ShapeArray, Dependencies: dependencies}}
+		applyJobRecord(n, 2+i, id, wire.JobLive, nil, dependencies...)
+		dependencies = []string{id}
+	}
+	last := dependencies[0]
+	submit := func() requestRun {
+		run := requestRun{node: n, stored: stored}
+		run.step(UserRequest{RequestID: 5, Kind: wire.RequestSubmit, Body: submissionBody(t, last)})
+		run.waitForReply()
+		return run
+	}
+	if run := submit(); run.reply == nil || run.reply.Body.(wire.JobStatus).Status != wire.StatusPending || run.reads != 1 {
+		t.Errorf("answered with %+v after %d reads, want pending after 1", run.reply, run.reads)
+	}
+	applyJobRecord(n, 2+jobCount, "wk-0", wire.JobCancelled, nil)
+	if run := submit(); run.reply == nil || run.reply.Body.(wire.JobStatus).Status != wire.StatusCancelled || run.reads > 1 {
+		t.Errorf("after the cancellation of an ancestor: answered with %+v after %d reads", run.reply, run.reads)
+	}
+}
--- a/internal/core/node_harness_test.go
+++ b/internal/core/node_harness_test.go
@@ -64,28 +64,67 @@
 // runRequest runs a request against a state service that holds the given job records, until no
 // call is in flight. It returns the reply and the writes of class ClassUser.
 func runRequest(n *Node, in Input, stored map[string]*wire.Job) (reply *Reply, wrote []kv.Write) {
-	inputs := []Input{in}
-	for len(inputs) > 0 {
-		in, inputs = inputs[0], inputs[1:]
-		for _, e := range n.Step(n.now+1, in) {
+	run := requestRun{node: n, stored: stored}
+	run.step(in)
+	return run.reply, run.wrote
+}
+
+// requestRun is the run of a request against a state service that holds the given job records.
+type requestRun struct {
+	node        *Node
+	stored      map[string]*wire.Job
+	replicaLags bool // the state service has a revision that the replica has not reached
+
+	reply *Reply     // nil: not answered
+	wrote []kv.Write // of class ClassUser
+	reads int        // number of records read
+	// mostReads is the largest number of records whose reading one input has caused.
+	mostReads int
+}
+
+// step applies an input and carries out calls until none is in flight.
+func (r *requestRun) step(in Input) {
+	for inputs := []Input{in}; len(inputs) > 0; inputs = inputs[1:] {
+		before := r.reads
+		for _, e := range r.node.Step(r.node.now+1, inputs[0]) {
 			switch effect := e.(type) {
 			case ReadJob:
-				if record := stored[effect.JobID]; record != nil {
-					inputs = append(inputs, JobRead{ID: effect.ID, Outcome: kv.OK, Revision: 7, Job: record})
-				} else {
-					inputs = append(inputs, JobRead{ID: effect.ID, Outcome: kv.NotFound})
-				}
+				inputs = append(inputs, r.read(effect))
 			case Commit:
-				if effect.Class == ClassUser && len(effect.Writes) > 0 {
-					wrote = append(wrote, effect.Writes...)
-				}
-				inputs = append(inputs, Committed{ID: effect.ID, Outcome: kv.OK, Revision: n.replica.Revision()})
+				inputs = append(inputs, r.commit(effect))
 			case Reply:
-				reply = &effect
+				r.reply = &effect
 			}
 		}
+		r.mostReads = max(r.mostReads, r.reads-before)
+	}
+}
+
+// waitForReply advances the time by up to two seconds, until the request is answered.
+func (r *requestRun) waitForReply() {
+	for end := r.node.now + 2*second; r.reply == nil && r.node.now < end; {
+		r.node.now += 50 * time.Millisecond
+		r.step(Tick{})
+	}
+}
+
+func (r *requestRun) read(read ReadJob) Input {
+	r.reads++
+	if record := r.stored[read.JobID]; record != nil {
+		return JobRead{ID: read.ID, Outcome: kv.OK, Revision: 7, Job: record}
+	}
+	return JobRead{ID: read.ID, Outcome: kv.NotFound}
+}
+
+func (r *requestRun) commit(commit Commit) Input {
+	if commit.Class == ClassUser {
+		r.wrote = append(r.wrote, commit.Writes...)
+	}
+	revision := r.node.replica.Revision()
+	if r.replicaLags {
+		revision++
 	}
-	return reply, wrote
+	return Committed{ID: commit.ID, Outcome: kv.OK, Revision: revision}
 }
 
 // controllerHarness runs a single controller with a state service that carries out all requests
--- a/internal/core/status_queries.go
+++ b/internal/core/status_queries.go
@@ -53,8 +53,10 @@
 	return min(interval, maxRevisionQueryInterval)
 }
 
-// queueStatusQuery queues a status query to be answered from the replica.
+// queueStatusQuery queues a status query, or another request for the status of a job, to be answered
+// from the replica.
 func (n *Node) queueStatusQuery(request *pendingRequest) {
+	request.awaitedReplica = true
 	n.userRequests.status.waiting = append(n.userRequests.status.waiting, request)
 	n.queryRevision()
 }
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -63,6 +63,7 @@
 	rejection       error         // why a submission is rejected, unless the job already exists
 	deadline        Time
 	forwardedToPeer bool
+	awaitedReplica  bool             // it was queued to be answered from the replica; see queueStatusQuery
 	dependencies    *dependencyCheck // of a submission with dependencies
 }
 
