A submission with many unknown dependencies reads 16 of them at a time

Cause: loadDependencies sent a read for each dependency that the replica does not show, all in one step; a body may name some 5,000, and all controllers share the state service's requests.

Change: at most 16 reads are in flight for a submission. After one that shows that a job was never accepted, which rejects the submission, no further one is started.

--- a/internal/core/dependency_check.go
+++ b/internal/core/dependency_check.go
@@ -27,9 +27,14 @@
 // jobNeverAccepted marks a dependency that was never accepted. It is no state of a record.
 const jobNeverAccepted wire.JobState = -1
 
+// maxDependencyReads is the maximum number of reads in flight for one submission. All controllers
+// share the requests that the state service allows, and a submission may name thousands of jobs.
+const maxDependencyReads = 16
+
 // loadDependencies reads the records of the dependencies that the replica does not show, since
 // another controller may have accepted them a moment ago. It reports whether the states of all
-// dependencies are known; if not, createJob is called again once they are.
+// dependencies are known, or at least those up to the first one that was never accepted, which
+// rejects the submission. If not, createJob is called again once the reads have been answered.
 func (n *Node) loadDependencies(request *pendingRequest) bool {
 	if request.dependencies == nil {
 		request.dependencies = &dependencyCheck{
@@ -42,10 +47,13 @@
 		if job := n.findJob(id); job != nil && job.Record != nil {
 			continue
 		}
-		if _, read := request.dependencies.readStates[id]; read {
-			continue
+		dependency, read := request.dependencies.readStates[id]
+		switch {
+		case read && dependency.state == jobNeverAccepted:
+			return request.dependencies.readsInFlight == 0
+		case !read && request.dependencies.readsInFlight < maxDependencyReads:
+			n.readDependency(request, id)
 		}
-		n.readDependency(request, id)
 	}
 	return request.dependencies.readsInFlight == 0
 }
--- a/internal/core/dependency_check_test.go
+++ b/internal/core/dependency_check_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -94,3 +95,41 @@
 		t.Error("the agreed format went back to an earlier one")
 	}
 }
+
+// Guards against a submission that names thousands of jobs and takes as many requests of the state
+// service at once, of which controllers need some for their leases.
+func TestSubmissionReadsFewDependenciesAtOnce(t *testing.T) {
+	const maxReadsAtOnce = 16
+	for _, test := range []struct {
+		name          string
+		accepted      int // of the dependencies, which the replica does not show
+		dependencies  int
+		status        int
+		maxTotalReads int
+	}{
+		{"all accepted a moment ago", 500, 500, http.StatusCreated, 500},
+		{"none ever accepted", 0, 4500, http.StatusUnprocessableEntity, maxReadsAtOnce + 1},
+		{"some never accepted", 40, 4500, http.StatusUnprocessableEntity, 3*maxReadsAtOnce + 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newTestNode()
+			stored := map[string]*wire.Job{}
+			var dependencies []string
+			for i := range test.dependencies {
+				id := fmt.Sprintf("wk-%06d", i)
+				dependencies = append(dependencies, id)
+				if i < test.accepted {
+					stored[id] = &wire.Job{TaskCount: 1, Spec: &wire.JobSpec{ID: id, Shape: wire.ShapeArray}}
+				}
+			}
+			run := requestRun{node: n, stored: stored}
+			run.step(UserRequest{RequestID: 1, Kind: wire.RequestSubmit, Body: submissionBody(t, "wk-900000", dependencies...)})
+			if run.reply == nil || run.reply.Status != test.status {
+				t.Errorf("answered with %+v, want status %d", run.reply, test.status)
+			}
+			if run.mostReads > maxReadsAtOnce || run.reads > test.maxTotalReads {
+				t.Errorf("%d reads, up to %d at once, want at most %d and %d", run.reads, run.mostReads, test.maxTotalReads, maxReadsAtOnce)
+			}
+		})
+	}
+}
