Test: malformed bodies at a running controller; headers are read in two shorter functions

Change: a test posts bodies that state long lists to both routes of a running controller. readHeader is split. No change of behaviour.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -47,27 +48,30 @@
 	return ended
 }
 
-// A controller serves until its context ends, and then stops even if its peer and the services
-// can't be reached.
-func TestRunEndsWithItsContext(t *testing.T) {
-	settings := newTestSettings(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	ended := startController(ctx, settings)
-	deadline := time.Now().Add(10 * time.Second)
-	for {
+// waitUntilServing waits until a controller answers /ready, and returns the status.
+func waitUntilServing(t *testing.T, settings *config.Settings) int {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		response, err := http.Get("http://" + settings.Bind + "/ready")
 		if err == nil {
 			response.Body.Close()
-			if response.StatusCode != http.StatusServiceUnavailable {
-				t.Errorf("/ready without a state service: status %d, want 503", response.StatusCode)
-			}
-			break
+			return response.StatusCode
 		}
 		if time.Now().After(deadline) {
 			t.Fatalf("the controller does not serve: %v", err)
 		}
-		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A controller serves until its context ends, and then stops even if its peer and the services
+// can't be reached.
+func TestRunEndsWithItsContext(t *testing.T) {
+	settings := newTestSettings(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := startController(ctx, settings)
+	if status := waitUntilServing(t, settings); status != http.StatusServiceUnavailable {
+		t.Errorf("/ready without a state service: status %d, want 503", status)
 	}
 	cancel()
 	select {
@@ -105,3 +109,31 @@
 		listener.Close()
 	}
 }
+
+// Guards against a body of a few bytes from a user or a worker that ends the controller, as it states
+// a list or map that would take more memory than the machine has.
+func TestBodiesThatStateLongLists(t *testing.T) {
+	settings := newTestSettings(t)
+	startController(t.Context(), settings)
+	waitUntilServing(t, settings)
+	const maxBytes = 16 << 20 // a lean deployment's controllers have 81 MB
+	for name, body := range map[string]string{
+		"a map":                  "\xdf\x01\x00\x00\x00",
+		"a list in a submission": "\x82\xa3ref\xa9wk-000500\xa4rigs\xdd\x01\x00\x00\x00",
+		"a list in a report":     "\x83\xa4host\xa4vm-1\xa5shift\x01\xa6frames\xdd\x01\x00\x00\x00",
+	} {
+		for _, path := range []string{"/api/jobs", "/v1/report"} {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			response, err := http.Post("http://"+settings.Bind+path, "application/msgpack", strings.NewReader(body))
+			if err != nil {
+				t.Fatalf("%s to %s: %v", name, path, err)
+			}
+			response.Body.Close()
+			runtime.ReadMemStats(&after)
+			if allocated := after.TotalAlloc - before.TotalAlloc; response.StatusCode != http.StatusBadRequest || allocated > maxBytes {
+				t.Errorf("%s to %s: status %d, %d bytes allocated, want 400 and at most %d", name, path, response.StatusCode, allocated, maxBytes)
+			}
+		}
+	}
+}
--- a/internal/wire/encoding_check.go
+++ b/internal/wire/encoding_check.go
@@ -137,6 +137,12 @@
 	case msgpcode.IsFixedString(code):
 		return 0, s.skipBytes(uint64(code & msgpcode.FixedStrMask))
 	}
+	return s.readSizedHeader(code)
+}
+
+// readSizedHeader is readHeader for a value whose first byte, which has been read, states its type
+// but not its size.
+func (s *encodingScanner) readSizedHeader(code byte) (children uint64, err error) {
 	switch code {
 	case msgpcode.Nil, msgpcode.False, msgpcode.True:
 		return 0, nil
