A message between controllers is refused beyond 4 MiB before memory is allocated for it

Change: both ends of a connection read through limitedConn, which fails before a message that states more than 4 MiB.

--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return status, err
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(limitMessages(conn))
 	defer client.Close()
 	err = call(ctx, client, methodStandby, &Ack{}, &status, timeout)
 	return status, err
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -97,7 +97,7 @@
 		l.running.Go(l.onBroken)
 		return false
 	}
-	l.client = rpc.NewClient(monitoredConn{conn, l.onBroken})
+	l.client = rpc.NewClient(monitoredConn{limitMessages(conn), l.onBroken})
 	return true
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -97,7 +97,7 @@
 		unregister := context.AfterFunc(ctx, func() { accepted.Close() })
 		go func() {
 			defer unregister()
-			server.ServeCodec(newServerCodec(idleTimeoutConn{accepted})) // closes the connection
+			server.ServeCodec(newServerCodec(limitMessages(idleTimeoutConn{accepted}))) // closes the connection
 		}()
 	}
 }
