A record that names an unknown shard is ignored instead of ending every controller

Cause: tasks and gang attempts name shards by index, which the core used as it stands in the record.

Change: applyRecordChanges leaves out records that name a shard which the deployment does not have, as it does with records that can't be decoded, and logs them.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strings"
 
 	"micaport/internal/kv"
@@ -12,7 +13,7 @@
 	if c.Reset {
 		n.deleteUnlisted(c)
 	}
-	n.applyEvents(c.Events)
+	n.applyEvents(n.withoutUnknownShards(c.Events))
 	if c.Reset {
 		n.ownership.AssumeRecentTakeovers(n.now)
 	} else {
@@ -45,6 +46,40 @@
 	}
 }
 
+// withoutUnknownShards returns events without the records that name shards which the deployment does
+// not have. Like records that can't be decoded, they are left out.
+func (n *Node) withoutUnknownShards(events []kv.Event) []kv.Event {
+	namesUnknownShard := func(e kv.Event) bool { return n.namesUnknownShard(e.Value) }
+	if !slices.ContainsFunc(events, namesUnknownShard) {
+		return events
+	}
+	known := slices.Clone(events)
+	return slices.DeleteFunc(known, func(e kv.Event) bool {
+		unknown := namesUnknownShard(e)
+		if unknown {
+			n.log(LogError, "record names an unknown shard, ignoring it", "key", e.Key, "revision", e.Revision)
+		}
+		return unknown
+	})
+}
+
+// namesUnknownShard reports whether a record names a shard that the deployment does not have.
+func (n *Node) namesUnknownShard(record wire.Record) bool {
+	isUnknown := func(shard int) bool { return shard < 0 || shard >= len(n.shards) }
+	anyTask := func(tasks wire.ActiveTasks) bool {
+		return slices.ContainsFunc(tasks, func(task wire.ActiveTask) bool { return isUnknown(task.Shard) })
+	}
+	switch v := record.(type) {
+	case *wire.Job:
+		return anyTask(v.ActiveTasks)
+	case *wire.Overflow:
+		return anyTask(v.ActiveTasks)
+	case *wire.Gang:
+		return slices.ContainsFunc(v.Shards, isUnknown)
+	}
+	return false
+}
+
 // applyEvents applies events in order. Dependency lists and overflow keys are applied before
 // all records, as a record is complete only together with them. If an overflow key changes,
 // only the last event of each job's record is applied, because the overflow keys already have
