--- a/internal/peer/message_limit_test.go
+++ b/internal/peer/message_limit_test.go
@@ -12,6 +12,20 @@
 	"micaport/internal/wire"
 )
 
+// sendBytes connects to a listener and sends bytes. The connection is closed when the test ends.
+func sendBytes(t *testing.T, listener net.Listener, raw []byte) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := conn.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // Guards against a message of a peer of which nothing but its length comes, for which gob allocated
 // that much memory, up to 10 MB, on each connection.
 func TestStatedMessageLengthAllocatesNothing(t *testing.T) {
@@ -25,14 +39,7 @@
 	} {
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		conn, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		if _, err := conn.Write([]byte(header)); err != nil {
-			t.Fatal(err)
-		}
+		conn := sendBytes(t, listener, []byte(header))
 		conn.SetReadDeadline(time.Now().Add(receiveTimeout))
 		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("%s: %v, want that the connection is closed", name, err)
--- a/internal/peer/server_codec_test.go
+++ b/internal/peer/server_codec_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/gob"
-	"net"
 	"net/rpc"
 	"runtime"
 	"testing"
@@ -51,7 +50,7 @@
 }
 
 // Guards against a message of a peer that states a long map, for which the decoder allocated more
-// memory than the machine has: it ended the controller.
+// memory than the machine has.
 func TestStatedMapLengthAllocatesNothing(t *testing.T) {
 	const maxBytes = 4 << 20 // far below the 16 MB that 2^24 entries of a byte would take
 	listener := listen(t)
@@ -60,14 +59,7 @@
 
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	conn, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := conn.Write(gossipStatingEntries(t)); err != nil {
-		t.Fatal(err)
-	}
+	conn := sendBytes(t, listener, gossipStatingEntries(t))
 	var response rpc.Response
 	if err := gob.NewDecoder(conn).Decode(&response); err != nil || response.Error == "" {
 		t.Errorf("answer %+v, %v, want an error of the call", response, err)
