Review: after the upgrade, an array whose tasks have all completed never becomes done

Cause: a record that needs more writes than a transaction may have is left out of every transaction, and the owners gather all ends into one.

--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -106,20 +106,29 @@
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
 
-// NewSite starts the stand-ins and writes the settings; Start starts the controllers.
-func NewSite(options Options, recordPath string) (*Site, error) {
-	deploy, err := os.ReadFile("deploy/service.toml")
+// RunLine returns the run line of the deploy file of the version in a folder, with the program's path.
+func RunLine(folder string) ([]string, error) {
+	deploy, err := os.ReadFile(filepath.Join(folder, "deploy/service.toml"))
 	if err != nil {
 		return nil, err
 	}
 	match := runLine.FindSubmatch(deploy)
 	if match == nil {
-		return nil, fmt.Errorf("deploy/service.toml has no run line")
+		return nil, fmt.Errorf("the deploy file in %s has no run line", folder)
 	}
-	s := &Site{Options: options, run: strings.Fields(string(match[1])), user: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
-	if _, err := os.Stat(s.run[0]); err != nil {
+	run := strings.Fields(string(match[1]))
+	run[0] = filepath.Join(folder, run[0])
+	_, err = os.Stat(run[0])
+	return run, err
+}
+
+// NewSite starts the stand-ins and writes the settings; Start starts the controllers.
+func NewSite(options Options, recordPath string) (*Site, error) {
+	run, err := RunLine(".")
+	if err != nil {
 		return nil, err
 	}
+	s := &Site{Options: options, run: run, user: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	if s.Rec, err = NewRecorder(recordPath); err != nil {
 		return nil, err
 	}
@@ -233,11 +242,14 @@
 }
 
 // Start starts a controller's process.
-func (s *Site) Start(index int) error {
+func (s *Site) Start(index int) error { return s.StartVersion(index, s.run) }
+
+// StartVersion starts a controller's process with the run line of some version.
+func (s *Site) StartVersion(index int, run []string) error {
 	node := s.Nodes[index]
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	command := exec.Command(s.run[0], append(append([]string{}, s.run[1:]...), node.Settings)...)
+	command := exec.Command(run[0], append(append([]string{}, run[1:]...), node.Settings)...)
 	command.Stderr = node.log
 	command.Env = append(os.Environ(), "LOG_LEVEL="+LogLevel)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the test
--- a/review/lab2/state.go
+++ b/review/lab2/state.go
@@ -147,6 +147,19 @@
 	return value
 }
 
+// CountKeys returns the number of keys with a prefix.
+func (s *State) CountKeys(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for key := range s.records {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *State) expire() {
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -126,6 +126,9 @@
 // Quiet leaves the starts and ends of single tasks out of the record.
 var Quiet bool
 
+// RunVaries is by which share the run time of a task may be longer or shorter.
+var RunVaries float64
+
 type task struct {
 	name    string
 	attempt uint64
@@ -383,7 +386,7 @@
 		if completed {
 			w.exit(t, "done", false)
 		} else if spec.Shape != "daemon" {
-			t.timer = time.AfterFunc(run, func() { w.finish(t, "done", false) })
+			t.timer = time.AfterFunc(time.Duration(float64(run)*(1+RunVaries*(2*rand.Float64()-1))), func() { w.finish(t, "done", false) })
 		}
 	})
 }
