Simulation: let the cloud have several machine types and change its offer

The simulated cloud had one machine type, so that no scenario could find a fault of the list of types: its size, its changes, or types that some controllers do not know. The setting machine_types and the commands offer and old-types vary them. Two rules are checked more: no job is rejected as one that can never run (422) while a type that fits has been on offer since it was submitted, and no task starts on a type that its job does not allow.

With one type the effects are as before.

--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -9,10 +9,11 @@
 	"micaport/internal/wire"
 )
 
-// cloud models the cloud provider, whose machines are all of one type.
+// cloud models the cloud provider.
 type cloud struct {
 	sim             *Simulation
-	machineType     wire.MachineType
+	machineTypes    []wire.MachineType       // all that it ever offers
+	offeredSince    map[string]time.Duration // by name of a type: since when it has been on offer; types that are not on offer are absent
 	machines        map[string]*cloudMachine
 	provisioned     map[string][]string              // names of the machines provisioned for each request, by the name of the request
 	requests        map[string]wire.ProvisionRequest // by name
@@ -32,15 +33,75 @@
 	terminated bool
 }
 
-// newCloud returns a cloud without machines.
+// newCloud returns a cloud without machines, which offers all its types.
 func newCloud(sim *Simulation) *cloud {
-	return &cloud{
+	created := &cloud{
 		sim: sim, machines: map[string]*cloudMachine{}, provisioned: map[string][]string{}, requests: map[string]wire.ProvisionRequest{},
-		machineType: wire.MachineType{
-			Name: "g2", Cores: 16, GPUs: 2, MemoryGB: 64, ImageCacheGB: 60, FetchGBs: 0.5,
-			PricePerHour: 6, SpotPricePerHour: 2, BootS: sim.BootTime.Seconds(), Zones: sim.Zones,
-		},
+		offeredSince: map[string]time.Duration{},
 	}
+	for number := 1; number <= max(1, sim.MachineTypes); number++ {
+		created.machineTypes = append(created.machineTypes, created.newMachineType(number))
+	}
+	created.offer(1, len(created.machineTypes))
+	return created
+}
+
+// newMachineType returns the machine type with a number, from 1 on. The first is the smallest and
+// the cheapest.
+func (c *cloud) newMachineType(number int) wire.MachineType {
+	machineType := wire.MachineType{
+		Name: "g2", Cores: 16, GPUs: 2, MemoryGB: 64, ImageCacheGB: 60, FetchGBs: 0.5,
+		PricePerHour: 6, SpotPricePerHour: 2, BootS: c.sim.BootTime.Seconds(), Zones: c.sim.Zones,
+	}
+	if number > 1 {
+		larger := float64(number - 1)
+		machineType.Name = fmt.Sprintf("g2-%03d", number)
+		machineType.Cores += larger
+		machineType.PricePerHour += larger
+		machineType.SpotPricePerHour += larger / 4
+	}
+	return machineType
+}
+
+// offer makes the types with the numbers from first to last those on offer.
+func (c *cloud) offer(first, last int) {
+	before := c.offeredSince
+	c.offeredSince = map[string]time.Duration{}
+	for i := first - 1; i < min(last, len(c.machineTypes)); i++ {
+		name := c.machineTypes[i].Name
+		since, offered := before[name]
+		if !offered {
+			since = c.sim.now
+		}
+		c.offeredSince[name] = since
+	}
+}
+
+// offers reports whether a type is on offer and has been since a time.
+func (c *cloud) offers(name string, since time.Duration) bool {
+	from, offered := c.offeredSince[name]
+	return offered && from <= since
+}
+
+// listTypes returns the types on offer.
+func (c *cloud) listTypes() []wire.MachineType {
+	var listed []wire.MachineType
+	for _, machineType := range c.machineTypes {
+		if c.offers(machineType.Name, c.sim.now) {
+			listed = append(listed, machineType)
+		}
+	}
+	return listed
+}
+
+// typeOf returns the type of a machine.
+func (c *cloud) typeOf(machine *cloudMachine) *wire.MachineType {
+	for i := range c.machineTypes {
+		if c.machineTypes[i].Name == machine.MachineType {
+			return &c.machineTypes[i]
+		}
+	}
+	return &c.machineTypes[0]
 }
 
 // call executes a call of a controller.
@@ -48,7 +109,7 @@
 	answer := core.CloudAnswered{ID: call.ID, Outcome: kv.OK}
 	switch {
 	case call.ListTypes:
-		answer.MachineTypes = []wire.MachineType{c.machineType}
+		answer.MachineTypes = c.listTypes()
 	case call.ListMachines:
 		answer.Machines = c.list()
 	case call.Provision != nil:
@@ -113,11 +174,11 @@
 func (c *cloud) provision(request *wire.ProvisionRequest) []string {
 	used := 0
 	for _, machine := range c.machines {
-		if !machine.terminated && machine.Zone == request.Zone && machine.Spot == request.Spot {
+		if !machine.terminated && machine.MachineType == request.MachineType && machine.Zone == request.Zone && machine.Spot == request.Spot {
 			used++
 		}
 	}
-	if c.outOfCapacity {
+	if c.outOfCapacity || !c.offers(request.MachineType, c.sim.now) {
 		return nil
 	}
 	var names []string
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"micaport/internal/wire"
@@ -87,6 +88,8 @@
 	switch {
 	case machine.Spot && !spec.AllowSpot:
 		r.reportViolation("wrong_place", "%s on a spot machine", task.jobID)
+	case !allowsType(spec, machine.MachineType):
+		r.reportViolation("wrong_place", "%s on a machine of type %s", task.jobID, machine.MachineType)
 	case spec.Zone != "" && spec.Zone != machine.Zone:
 		r.reportViolation("wrong_place", "%s in zone %s", task.jobID, machine.Zone)
 	case spec.SameZone && len(zones) > 1:
@@ -96,6 +99,33 @@
 	}
 }
 
+// allowsType reports whether a job allows a machine type.
+func allowsType(spec *wire.JobSpec, machineType string) bool {
+	return spec.MachineTypes == nil || slices.Contains(spec.MachineTypes, machineType)
+}
+
+// checkRejected checks that a job which was rejected as one that can never run, in answer to a
+// submission sent at a time, can't run: it needs more than its team's limit, or fits no type that it
+// allows and that has been on offer since then.
+func (r *ruleChecker) checkRejected(user *simUser, sentAt time.Duration) {
+	spec, cloud := &user.spec, r.sim.cloud
+	team, known := r.sim.quota.teams[spec.Team]
+	atOnce := 1.0
+	if spec.Shape != wire.ShapeArray {
+		atOnce = float64(spec.TaskCount)
+	}
+	if !known || spec.Dependencies != nil || exceedsLimit(team.limit, atOnce*spec.Cores, atOnce*spec.GPUs) {
+		return
+	}
+	for _, machineType := range cloud.machineTypes {
+		fits := spec.Cores <= machineType.Cores && spec.GPUs <= machineType.GPUs && spec.MemoryGB <= machineType.MemoryGB
+		if fits && allowsType(spec, machineType.Name) && cloud.offers(machineType.Name, sentAt) && (spec.Zone == "" || slices.Contains(machineType.Zones, spec.Zone)) {
+			r.reportViolation("rejected_wrongly", "%s fits %s, which is on offer", spec.ID, machineType.Name)
+			return
+		}
+	}
+}
+
 const (
 	// maxMessageBytes is the limit on a worker's heartbeats and on the replies to them.
 	maxMessageBytes = 64 << 10
--- a/internal/simulation/rules_waiting.go
+++ b/internal/simulation/rules_waiting.go
@@ -112,7 +112,7 @@
 // freeCapacity returns the free resources of each machine whose worker is healthy. The result
 // is never nil, so that nil can mean that it has not been determined yet.
 func (f *workerFleet) freeCapacity() []*freeCapacity {
-	now, machineType := f.sim.now, &f.sim.cloud.machineType
+	now := f.sim.now
 	all := []*freeCapacity{}
 	for _, worker := range f.running() {
 		if worker.hung || worker.failsTasks || worker.reclaimAt > 0 ||
@@ -120,6 +120,7 @@
 			now < worker.outboundCutUntil {
 			continue
 		}
+		machineType := f.sim.cloud.typeOf(worker.machine)
 		free := &freeCapacity{worker, machineType.Cores, machineType.GPUs, machineType.MemoryGB}
 		for _, task := range worker.tasks {
 			if task.state != wire.TaskExited && task.user != nil {
@@ -158,7 +159,7 @@
 	zones := map[string]int{}
 	for _, machineFree := range free {
 		machine := machineFree.worker.machine
-		if machine.Spot && !spec.AllowSpot || spec.Zone != "" && spec.Zone != machine.Zone {
+		if machine.Spot && !spec.AllowSpot || spec.Zone != "" && spec.Zone != machine.Zone || !allowsType(spec, machine.MachineType) {
 			continue
 		}
 		for remaining := *machineFree; remaining.fitsTask(spec) && zones[machine.Zone] < required; remaining.reserve(spec) {
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -82,6 +82,7 @@
 	duration := func(field *time.Duration) func(float64) { return func(x float64) { *field = seconds(x) } }
 	return map[string]func(float64){
 		"capacity":         integer(&s.Capacity),
+		"machine_types":    integer(&s.MachineTypes),
 		"write_rps":        decimal(&s.WriteRPS),
 		"boot_s":           duration(&s.BootTime),
 		"report_s":         duration(&s.HeartbeatInterval),
--- a/internal/simulation/script_commands.go
+++ b/internal/simulation/script_commands.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"micaport/internal/wire"
 )
 
 // maxLateWriteDelay is the longest delay of a late write.
@@ -58,6 +60,18 @@
 		sim.cloud.outOfCapacity = true
 		sim.after(args.duration(0), func() { sim.cloud.outOfCapacity = false })
 	}),
+	// offer FIRST LAST: from now on the cloud offers its machine types with the numbers from FIRST to LAST.
+	"offer": infallible(func(sim *Simulation, args arguments) { sim.cloud.offer(int(args.number(0)), int(args.number(1))) }),
+	// old-types COUNT: a controller of an earlier version stores the machine types, cut to the first COUNT.
+	"old-types": func(sim *Simulation, args arguments) error {
+		record := &wire.MachineTypeCache{Types: sim.cloud.listTypes()[:int(args.number(0))]}
+		raw, err := wire.Encode(record)
+		if err != nil {
+			return err
+		}
+		sim.store.overwrite(wire.MachineTypesKey, raw)
+		return nil
+	},
 	// boots FACTOR SHARE SECONDS: boots take FACTOR times as long, and a share SHARE of them never completes.
 	"boots": infallible(func(sim *Simulation, args arguments) {
 		sim.setTimedValue(&sim.cloud.slowBoot, args.number(0), args.duration(2))
--- a/internal/simulation/settings.go
+++ b/internal/simulation/settings.go
@@ -19,7 +19,8 @@
 	GangPeerTimeout   time.Duration // how long a running gang task tolerates a missing peer
 	CancelDeadline    time.Duration // time within which all tasks of a job must end once its cancellation has been confirmed
 	BootTime          time.Duration // approximate time that a machine takes to boot
-	Capacity          int           // machines that a zone has of each kind, spot and on-demand
+	Capacity          int           // machines that a zone has of each type and kind, spot and on-demand
+	MachineTypes      int           // number of machine types that the cloud has; 0: one
 	IdleTimeout       time.Duration // time after which an idle machine is deprovisioned
 
 	// Limits of the state service.
--- a/internal/simulation/submission.go
+++ b/internal/simulation/submission.go
@@ -53,7 +53,7 @@
 	"urgency": func(s *submission, text string) { s.spec.Priority = text },
 	"image":   func(s *submission, text string) { s.spec.Image = text },
 	"zone":    func(s *submission, text string) { s.spec.Zone = text },
-	"rig":     func(s *submission, text string) { s.spec.MachineTypes = []string{text} },
+	"rig":     func(s *submission, text string) { s.spec.MachineTypes = strings.Split(text, ",") },
 	"after":   func(s *submission, text string) { s.spec.Dependencies = strings.Split(text, ",") },
 }
 
--- a/internal/simulation/user.go
+++ b/internal/simulation/user.go
@@ -76,6 +76,8 @@
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
 			if u.accepted {
 				u.sim.rules.reportViolation("forgotten", "%s: repeated submission got %d", u.spec.ID, reply.Status)
+			} else if reply.Status == http.StatusUnprocessableEntity {
+				u.sim.rules.checkRejected(u, sentAt)
 			}
 		default:
 			if u.sim.now-firstAt < submitRetryPeriod {
--- a/internal/simulation/worker_task.go
+++ b/internal/simulation/worker_task.go
@@ -54,7 +54,7 @@
 	sim.rules.taskStarted(w, task)
 	fetchTime := time.Duration(0)
 	if !w.images[user.spec.Image] {
-		fetchTime = seconds(user.spec.ImageGB / sim.cloud.machineType.FetchGBs * (0.7 + 0.6*sim.rng.Float64()))
+		fetchTime = seconds(user.spec.ImageGB / sim.cloud.typeOf(w.machine).FetchGBs * (0.7 + 0.6*sim.rng.Float64()))
 	}
 	w.schedule(task, fetchTime, func() {
 		w.images[user.spec.Image] = true
@@ -88,7 +88,7 @@
 		gpus += other.user.spec.GPUs
 		memoryGB += other.user.spec.MemoryGB
 	}
-	machineType := &w.sim.cloud.machineType
+	machineType := w.sim.cloud.typeOf(w.machine)
 	if cores > machineType.Cores || gpus > machineType.GPUs || memoryGB > machineType.MemoryGB {
 		return wire.CauseNoCapacity
 	}
