Store all machine types, whatever their number, and until they are stored

Cause: only the leader asks the cloud for the types. It stored them for the others in one value and cut the list to its size without a word; the others took the record for all types. They rejected jobs for the rest (422), and an owner knew no capacity for a machine of a type that was cut off, so it revoked every grant for it after 2.5 s, for ever. Two more faults kept such a record: a write that failed or whose answer was lost was repeated only if the list had changed once more, and a controller that had a list once never replaced it by a later record, nor a new leader that had known the same types before.

Change: what is known of the types moves out of Node into internal/machinetypes. A list that fits one value is stored as before, marked as whole. Another one goes over several keys (m/t/, written first) that a head record names (m/typelist, written last). The leader's next write follows from what the watch shows, so that it goes on after any outcome, a new leader, or a record of an earlier version, and all controllers follow each whole list. Types that are no longer offered are stored as such, since machines of them may run. A record without the mark only adds types. Earlier versions skip the new keys; beside them m/types holds all types if the present limit allows it, and is absent otherwise, which they answer with 503.

--- a/internal/core/autoscaler_pools.go
+++ b/internal/core/autoscaler_pools.go
@@ -98,8 +98,8 @@
 func (p *schedulingPass) poolsFor(job *job) []pricedPool {
 	n, spec := p.node, job.Record.Spec
 	list := make([]pricedPool, 0, 8)
-	for index, machineType := range n.machineTypes {
-		if machineType == nil || !fitsType(spec, machineType) {
+	for index, machineType := range n.machineTypes.Offered() {
+		if !fitsType(spec, machineType) {
 			continue
 		}
 		for _, name := range machineType.Zones {
--- a/internal/core/autoscaler_requests.go
+++ b/internal/core/autoscaler_requests.go
@@ -4,15 +4,9 @@
 	"slices"
 
 	"micaport/internal/kv"
-	"micaport/internal/wire"
 )
 
 const (
-	// typesInterval is the time between two fetches of the machine types, which change rarely.
-	typesInterval = 30 * second
-	// typesRetryInterval is the time between two fetches of the machine types until one has
-	// succeeded.
-	typesRetryInterval = 2 * second
 	// minListInterval is the shortest time between two fetches of the machine list.
 	minListInterval = 4 * second
 	// machinesPerPage is the number of machines on a page of the machine list.
@@ -72,13 +66,7 @@
 // provisioning requests that are due.
 func (n *Node) runCloudCalls() {
 	scaler := &n.leader.autoscaler
-	if n.now >= scaler.nextTypesAt {
-		scaler.nextTypesAt = n.now + typesInterval
-		if n.offeredTypes == nil || n.typesFetchedAt == 0 {
-			scaler.nextTypesAt = n.now + typesRetryInterval
-		}
-		n.callCloud(CallCloud{ListTypes: true}, listTypesCall{})
-	}
+	n.listMachineTypes()
 	if n.now >= scaler.nextListAt && !scaler.listInProgress {
 		scaler.listInProgress = true
 		n.callCloud(CallCloud{ListMachines: true}, listMachinesCall{leadershipChanges: n.leader.leadershipChanges})
@@ -92,49 +80,6 @@
 	}
 }
 
-// listTypesCall is a fetch of the machine types in progress.
-type listTypesCall struct{}
-
-func (listTypesCall) cloudAnswered(n *Node, answer CloudAnswered) {
-	if answer.Outcome == kv.OK && len(answer.MachineTypes) > 0 {
-		n.updateMachineTypes(answer.MachineTypes)
-	}
-}
-
-// setMachineTypes replaces the list of machine types that the cloud offers. The entries of
-// machineTypes are kept for types that are no longer in the list.
-func (n *Node) setMachineTypes(types []wire.MachineType) {
-	n.offeredTypes = types
-	for i := range types {
-		index := n.names.MachineTypes.Intern(types[i].Name)
-		for len(n.machineTypes) <= index {
-			n.machineTypes = append(n.machineTypes, nil)
-		}
-		n.machineTypes[index] = &types[i]
-	}
-	n.leader.passNeeded = true
-}
-
-// updateMachineTypes sets the machine types that the cloud has listed. If their names have changed
-// or no types are stored in the state service yet, it also stores them there, for controllers that
-// cannot reach the cloud.
-func (n *Node) updateMachineTypes(types []wire.MachineType) {
-	changed := len(types) != len(n.offeredTypes)
-	for i := range types {
-		changed = changed || n.offeredTypes[i].Name != types[i].Name
-	}
-	n.setMachineTypes(types)
-	n.typesFetchedAt = n.now
-	if !changed && n.typesRevision != 0 {
-		return
-	}
-	for len(types) > 1 && !n.valueFits(&wire.MachineTypeCache{Types: types}) {
-		types = types[:len(types)-1] // an incomplete list is better than none
-	}
-	n.transact(ClassBackground, []kv.Condition{n.leaderCondition()},
-		[]kv.Write{{Key: wire.MachineTypesKey, Value: &wire.MachineTypeCache{Types: types}}}, ignoreResult{})
-}
-
 // listMachinesCall is a fetch of the machine list in progress.
 type listMachinesCall struct{ leadershipChanges int }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 
 	"micaport/internal/gang"
 	"micaport/internal/leadership"
+	"micaport/internal/machinetypes"
 	"micaport/internal/replica"
 	"micaport/internal/wire"
 )
@@ -42,6 +43,8 @@
 	budget           writeBudget
 	runTimeEstimator runTimeEstimator
 
+	typePublisher *machinetypes.Publisher
+
 	arrivals arrivalForecast
 
 	cloudUnreachableSince Time   // when the cloud stopped answering; 0 while it answers
@@ -67,6 +70,7 @@
 	for i := range cfg.Teams {
 		n.names.Teams.Intern(cfg.Teams[i].Name)
 	}
+	n.initMachineTypes()
 	n.initOwnership()
 	n.initLeadership()
 	n.initReplica()
--- a/internal/core/failover_test.go
+++ b/internal/core/failover_test.go
@@ -145,7 +145,7 @@
 	if len(m.takeLeaderCommits()) == 0 {
 		t.Fatal("not claimed")
 	}
-	m.node.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+	offerTypes(m.node, []wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 	m.applyLeaderRecord("n1", "y", true, 1)
 	proofs := m.takeLeaderCommits()
 	if len(proofs) != 1 || len(proofs[0].Writes) != 0 || !m.node.isLeader() {
@@ -350,7 +350,7 @@
 func TestDecisionLogIsAdopted(t *testing.T) {
 	for _, fromPredecessor := range []bool{true, false} {
 		m := newFailoverHarness(t)
-		m.node.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+		offerTypes(m.node, []wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 		m.node.getOrAddMachine("vm-4").view.reportedByOwner = true
 		m.node.getOrAddMachine("vm-5").deprovisioned = true
 		term := m.applyLeaderRecord("n0", "x", true, 0)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -91,6 +91,7 @@
 // runLeader makes the calls to the cloud and the scheduling pass that are due, if this process
 // leads. An isolated leader may resign instead.
 func (n *Node) runLeader() {
+	n.machineTypes.SetLeading(n.now, n.isLeader())
 	if !n.isLeader() || n.resignIfIsolated() || !n.leadership.LeaseValid(n.now) {
 		return
 	}
@@ -98,6 +99,7 @@
 		return
 	}
 	n.runCloudCalls()
+	n.storeMachineTypes()
 	if n.passDue() && n.leader.batch.retryOrCheckReady(n) {
 		n.runLeaderPass()
 	}
@@ -109,7 +111,7 @@
 	if n.now < leader.nextPassAt || !leader.passNeeded && n.now < leader.nextPassAt+idlePassInterval {
 		return false
 	}
-	return n.offeredTypes != nil && n.now-n.leadership.LeaderChangedAt() >= firstPassDelay
+	return n.machineTypes.OfferedCount() > 0 && n.now-n.leadership.LeaderChangedAt() >= firstPassDelay
 }
 
 // runLeaderPass makes a scheduling pass: it decides about gangs and waiting jobs and commits the
--- a/internal/core/node_harness_test.go
+++ b/internal/core/node_harness_test.go
@@ -27,10 +27,15 @@
 	change(&cfg)
 	n := New(cfg)
 	n.Step(second, RecordsChanged{Reset: true, Revision: 1, Events: []kv.Event{{Key: wire.FormatPrefix + "n0", Revision: 1, Value: &wire.SupportedFormat{Format: wire.Format}}}})
-	n.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+	offerTypes(n, []wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 	return n
 }
 
+// offerTypes makes the cloud list machine types to a controller now.
+func offerTypes(n *Node, types []wire.MachineType) {
+	n.applyTypeListing(CloudAnswered{Outcome: kv.OK, MachineTypes: types}, n.now)
+}
+
 // applyJobRecord applies the record of a job to a controller's replica. If
 // changeSpec is not nil, it changes the job's specification first.
 func applyJobRecord(n *Node, revision int, id string, state wire.JobState, changeSpec func(*wire.JobSpec), dependencies ...string) {
--- a/internal/core/overflow_test.go
+++ b/internal/core/overflow_test.go
@@ -19,7 +19,7 @@
 	})
 	d.wait(6 * second)
 	n := d.node
-	n.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+	offerTypes(n, []wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 	big := lowJob(wire.JobLive)
 	big.TaskCount, big.Spec.TaskCount = 400, 400
 	for i := range 400 {
--- a/internal/core/ownership_guards_test.go
+++ b/internal/core/ownership_guards_test.go
@@ -100,7 +100,7 @@
 	if !n.isLeader() {
 		t.Fatal("the controller is not the leader")
 	}
-	n.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+	offerTypes(n, []wire.MachineType{{Name: "g", Cores: 8, GPUs: 1, MemoryGB: 64, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 	d.sendHeartbeat(20, n.shards[0].Term)
 	d.revision++
 	j := lowJob(wire.JobLive)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -41,6 +41,7 @@
 		}
 	}
 	n.gangs.DeleteUnlisted(listed)
+	n.machineTypes.DeleteUnlisted(listed)
 	if !listed[wire.LeaderKey] {
 		n.putLeader(nil, listing.Revision)
 	}
@@ -135,8 +136,12 @@
 		}
 	case *wire.ImageCache:
 		n.putImageCache(v)
+	case *wire.MachineTypeHead:
+		n.machineTypes.PutHead(v, e.Revision)
+	case *wire.MachineTypePart:
+		n.machineTypes.PutPart(e.Key, v, e.Revision)
 	case *wire.MachineTypeCache:
-		n.putMachineTypes(v, e.Revision)
+		n.machineTypes.PutRecord(v, e.Revision)
 	case nil:
 		n.applyDelete(e)
 	}
@@ -155,17 +160,7 @@
 		n.gangs.Delete(e.Key)
 	case strings.HasPrefix(e.Key, wire.AccountPrefix):
 		n.replica.PutAccount(wire.AccountTeam(e.Key), nil, e.Revision)
-	}
-}
-
-// putMachineTypes applies the stored machine types, unless the machine types on offer are
-// already known.
-func (n *Node) putMachineTypes(types *wire.MachineTypeCache, revision uint64) {
-	if revision < n.typesRevision {
-		return
-	}
-	n.typesRevision = revision
-	if n.offeredTypes == nil {
-		n.setMachineTypes(types.Types)
+	default:
+		n.machineTypes.Delete(e.Key)
 	}
 }
--- a/internal/core/scheduler_admission.go
+++ b/internal/core/scheduler_admission.go
@@ -99,7 +99,7 @@
 // limits in these shards. It does nothing while this controller holds the leader's claim or has a
 // transaction of a leader's pass pending.
 func (n *Node) admitWork(writer *writer, free *lazySlots) {
-	if n.cfg.Admission == AdmitNothing || !n.replica.SupportsTeamAccounts() || n.now < n.nextAdmissionAt || n.offeredTypes == nil ||
+	if n.cfg.Admission == AdmitNothing || !n.replica.SupportsTeamAccounts() || n.now < n.nextAdmissionAt || n.machineTypes.OfferedCount() == 0 ||
 		n.leadership.HoldsClaim() || n.leader.batch.active || n.replica.Revision() == 0 {
 		return
 	}
--- a/internal/core/scheduler_reserve.go
+++ b/internal/core/scheduler_reserve.go
@@ -81,8 +81,8 @@
 	if job.Record.Spec.GPUs > 0 {
 		return false
 	}
-	for index, machineType := range t.machineTypes {
-		if machineType != nil && machineType.GPUs == 0 &&
+	for index, machineType := range t.machineTypes.Offered() {
+		if machineType.GPUs == 0 &&
 			(job.AnyType || job.MachineTypes.Has(index)) &&
 			fitsType(job.Record.Spec, machineType) {
 			return false
@@ -95,8 +95,8 @@
 // for a job until its first heartbeat; 0 if no machine type fits.
 func (t *topology) provisionTime(job *job) Time {
 	shortest := 0.0 // in seconds
-	for index, machineType := range t.machineTypes {
-		if machineType != nil && (job.AnyType || job.MachineTypes.Has(index)) &&
+	for index, machineType := range t.machineTypes.Offered() {
+		if (job.AnyType || job.MachineTypes.Has(index)) &&
 			fitsType(job.Record.Spec, machineType) &&
 			(shortest == 0 || machineType.BootS < shortest) {
 			shortest = machineType.BootS
@@ -109,8 +109,8 @@
 // the machine types on which the job may run; 0 if no rate is known.
 func (t *topology) imageFetchTime(job *job) Time {
 	rate := 0.0 // in GB/s
-	for index, machineType := range t.machineTypes {
-		if machineType != nil && (job.AnyType || job.MachineTypes.Has(index)) {
+	for index, machineType := range t.machineTypes.Offered() {
+		if job.AnyType || job.MachineTypes.Has(index) {
 			rate = max(rate, machineType.FetchGBs)
 		}
 	}
--- a/internal/core/slot_search.go
+++ b/internal/core/slot_search.go
@@ -78,7 +78,7 @@
 // run on them.
 func (s *slotSearch) mayFit(class slotClass) bool {
 	gpus := s.job.Record.Spec.GPUs
-	if class.noFreeGPU && gpus > 0 && s.set.node.machineTypes[class.machineType].GPUs > 0 {
+	if class.noFreeGPU && gpus > 0 && s.set.node.typeAt(class.machineType).GPUs > 0 {
 		return false
 	}
 	return float64(class.gpus)+1 >= gpus && s.job.Allows(class.machineType, class.zone, class.spot)
--- a/internal/core/slots_test.go
+++ b/internal/core/slots_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newTestNode()
-			n.setMachineTypes([]wire.MachineType{{Name: "g", Cores: 24, GPUs: 2, MemoryGB: 96, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
+			offerTypes(n, []wire.MachineType{{Name: "g", Cores: 24, GPUs: 2, MemoryGB: 96, FetchGBs: 1, PricePerHour: 1, BootS: 10, Zones: []string{"a"}}})
 			set := newSlotSet(n)
 			var slots []*slot
 			for _, capacity := range free {
@@ -90,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			n := newTestNode()
 			if test.types != nil {
-				n.setMachineTypes(test.types)
+				offerTypes(n, test.types)
 			}
 			job := &job{Job: &replica.Job{Record: &wire.Job{Spec: &wire.JobSpec{Cores: 1, GPUs: test.gpus}}, AnyType: true}}
 			if got := n.fitsBesideGPUWork(job); got != test.want {
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -15,7 +15,7 @@
 // the job's dependencies, or writing a dependency list that does not fit the job's record.
 func (n *Node) createJob(request *pendingRequest) {
 	spec := request.spec
-	if n.offeredTypes == nil {
+	if n.machineTypes.OfferedCount() == 0 {
 		n.answerUnavailable(request, "machine types are not known yet")
 		return
 	}
@@ -137,10 +137,7 @@
 	if index < 0 {
 		return errUnknownTeam
 	}
-	if !slices.ContainsFunc(s.offeredTypes, func(machineType wire.MachineType) bool {
-		return typeAllowed(spec, machineType.Name) && fitsType(spec, &machineType) &&
-			(spec.Zone == "" || slices.Contains(machineType.Zones, spec.Zone))
-	}) {
+	if !s.anyTypeFits(spec) {
 		return errNoMachineType
 	}
 	atOnce := 1.0 // tasks that have to run at the same time
@@ -154,6 +151,18 @@
 	return nil
 }
 
+// anyTypeFits reports whether a task of a job fits a machine type that the job allows and that is on
+// offer, as far as this controller knows, where the job may run.
+func (s *site) anyTypeFits(spec *wire.JobSpec) bool {
+	for _, machineType := range s.machineTypes.Offered() {
+		if typeAllowed(spec, machineType.Name) && fitsType(spec, machineType) &&
+			(spec.Zone == "" || slices.Contains(machineType.Zones, spec.Zone)) {
+			return true
+		}
+	}
+	return false
+}
+
 // epsilon is the tolerance for rounding errors in comparisons of resource amounts.
 const epsilon = 1e-6
 
--- a/internal/core/topology.go
+++ b/internal/core/topology.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"micaport/internal/machinetypes"
 	"micaport/internal/replica"
 	"micaport/internal/wire"
 )
@@ -10,12 +11,8 @@
 // topology holds the machine types, shards and machines of the site. Names are mapped to indices
 // when records or messages are received.
 type topology struct {
-	names *replica.Names
-
-	offeredTypes   []wire.MachineType
-	typesFetchedAt Time                // when the cloud last listed the machine types; 0: never
-	typesRevision  uint64              // revision of the stored machine types
-	machineTypes   []*wire.MachineType // by index of their name, also those no longer offered; nil: never offered
+	names        *replica.Names
+	machineTypes *machinetypes.Catalog
 
 	shards   []*shard
 	machines []*machine // by index of their name
@@ -69,14 +66,6 @@
 	return nil
 }
 
-// typeAt returns the machine type with an index, or nil if it has never been offered.
-func (t *topology) typeAt(index int) *wire.MachineType {
-	if index < 0 || index >= len(t.machineTypes) {
-		return nil
-	}
-	return t.machineTypes[index]
-}
-
 // hasReported reports whether the machine with a name has sent a heartbeat to its owner, as far as
 // this controller knows.
 func (t *topology) hasReported(name string) bool {
--- a/internal/wire/decode_fuzz_test.go
+++ b/internal/wire/decode_fuzz_test.go
@@ -15,6 +15,7 @@
 		Gossip{From: "n0", Seen: map[string]SeenVersion{"n1": {Life: "a", Ver: 1}}, Hosts: []MachineInfo{{Name: "vm-1", Images: []int{1}}}, Leader: &LeaderView{Term: 1}},
 		[]Fact{{Kind: FactIdle, Name: "vm-1", At: 5}},
 		MachineTypeCache{Types: []MachineType{{Name: "g8", Zones: []string{"a"}}}},
+		MachineTypePart{Offered: []MachineType{{Name: "g8", Zones: []string{"a"}}}, Withdrawn: []MachineType{{Name: "g4"}}},
 	} {
 		raw, err := Encode(value)
 		if err != nil {
--- a/internal/wire/encoding_check_test.go
+++ b/internal/wire/encoding_check_test.go
@@ -57,7 +57,7 @@
 	}
 	for _, key := range []string{
 		JobPrefix + "wk-1", OverflowPrefix + "wk-1/1", DependencyListPrefix + "wk-1/a/1", ShardPrefix + "a", GangPrefix + "wk-1/1",
-		MailboxPrefix + "a", ImagePrefix + "a", FormatPrefix + "a", LeaderKey, TakeoversKey, MachineTypesKey,
+		MailboxPrefix + "a", ImagePrefix + "a", FormatPrefix + "a", LeaderKey, TakeoversKey, MachineTypesKey, MachineTypeHeadKey, MachineTypePartPrefix + "a/1",
 	} {
 		decode[key] = func(raw []byte) error {
 			_, err := DecodeRecord(key, raw)
--- a/internal/wire/format_test.go
+++ b/internal/wire/format_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// machineTypeRecords returns the expected decoded records of testdata/machine-types, by file. The
+// files were written by the first version that stores the machine types over several keys.
+func machineTypeRecords() map[string]any {
+	g8 := MachineType{Name: "g8", Cores: 96, GPUs: 8, MemoryGB: 768, ImageCacheGB: 200, FetchGBs: 1, PricePerHour: 12, SpotPricePerHour: 4.5, BootS: 45, Zones: []string{"a", "b"}}
+	g4 := MachineType{Name: "g4", Cores: 48, GPUs: 4, MemoryGB: 384, ImageCacheGB: 100, FetchGBs: 0.5, PricePerHour: 6, BootS: 30, Zones: []string{"a"}}
+	return map[string]any{
+		"head":           &MachineTypeHead{Generation: "412-3", Parts: 2},
+		"part":           &MachineTypePart{Offered: []MachineType{g8, g4}},
+		"record-whole":   &MachineTypeCache{Types: []MachineType{g8}, Withdrawn: []MachineType{g4}, Whole: true},
+		"part-withdrawn": &MachineTypePart{Offered: []MachineType{g8}, Withdrawn: []MachineType{g4}},
+	}
+}
+
 // messagesOfFormat5 returns the expected decoded messages between controllers that format 5 adds or
 // extends, by file.
 func messagesOfFormat5() map[string]any {
@@ -85,7 +98,7 @@
 // version that supports them, since it may run at the same time as this one. Records that do not
 // use a later format are encoded as in format 1; see TestFormat1Records.
 func TestLaterFormatRecords(t *testing.T) {
-	for directory, records := range map[string]map[string]any{"format2": format2(), "format4": format4(), "format5": format5()} {
+	for directory, records := range map[string]map[string]any{"format2": format2(), "format4": format4(), "format5": format5(), "machine-types": machineTypeRecords()} {
 		for name, want := range records {
 			checkRecord(t, directory+"/"+name, want)
 		}
--- a/internal/wire/keys.go
+++ b/internal/wire/keys.go
@@ -10,7 +10,8 @@
 
 // Keys of the records in the state service. All share Prefix, so that a single watch reports all
 // changes in order. A key or prefix that a format adds is used only once all controllers support
-// that format; see record_format.go.
+// that format; see record_format.go. Those marked with any format are used at once, as versions that
+// do not know them lose nothing by ignoring them.
 const (
 	Prefix = "m/"
 
@@ -25,9 +26,12 @@
 	DependencyListPrefix = "m/n/" // DependencyList, by job ID, list and number; format 3
 	AccountPrefix        = "m/q/" // Account, by team; format 4
 
-	LeaderKey       = "m/leader"    // Leader
-	MachineTypesKey = "m/types"     // MachineTypeCache
-	TakeoversKey    = "m/takeovers" // Takeovers; format 5
+	MachineTypePartPrefix = "m/t/" // MachineTypePart, by generation and number; any format
+
+	LeaderKey          = "m/leader"    // Leader
+	MachineTypesKey    = "m/types"     // MachineTypeCache
+	MachineTypeHeadKey = "m/typelist"  // MachineTypeHead; any format
+	TakeoversKey       = "m/takeovers" // Takeovers; format 5
 )
 
 // JobKey returns the key of a job's record.
@@ -69,6 +73,12 @@
 	return GangPrefix + jobID + "/" + strconv.FormatUint(attempt, 10)
 }
 
+// MachineTypePartKey returns the key of a part of a list of machine types. Parts are numbered from 1
+// on.
+func MachineTypePartKey(generation string, number int) string {
+	return MachineTypePartPrefix + generation + "/" + strconv.Itoa(number)
+}
+
 // AccountKey returns the key of a team's account. The name of the team is escaped, as it may contain
 // characters that are not allowed in keys, such as spaces.
 func AccountKey(team string) string { return AccountPrefix + url.QueryEscape(team) }
--- a/internal/wire/production_test.go
+++ b/internal/wire/production_test.go
@@ -114,7 +114,12 @@
 		input.WriteString(keys[name] + " " + text + "\n")
 		want = append(want, text)
 	}
-	for _, key := range []string{OverflowKey("wk-000412", 1), FormatPrefix + "stanok-0", TakeoversKey} {
+	// It reads only the types of a record that this version has marked as whole.
+	marked, types := machineTypeRecords()["record-whole"].(*MachineTypeCache), MachineTypeCache{}
+	types.Types = marked.Types
+	input.WriteString(MachineTypesKey + " " + hex.EncodeToString(mustEncode(t, marked)) + "\n")
+	want = append(want, hex.EncodeToString(mustEncode(t, &types)))
+	for _, key := range []string{OverflowKey("wk-000412", 1), FormatPrefix + "stanok-0", TakeoversKey, MachineTypeHeadKey, MachineTypePartKey("412-1", 1)} {
 		input.WriteString(key + " 80\n")
 		want = append(want, "skipped")
 	}
--- a/internal/wire/record.go
+++ b/internal/wire/record.go
@@ -17,6 +17,8 @@
 func (*Gang) record()             {}
 func (*ImageCache) record()       {}
 func (*MachineTypeCache) record() {}
+func (*MachineTypeHead) record()  {}
+func (*MachineTypePart) record()  {}
 func (*Gossip) record()           {}
 func (*SupportedFormat) record()  {}
 func (*Account) record()          {}
@@ -38,11 +40,13 @@
 		{ImagePrefix, func() Record { return new(ImageCache) }},
 		{FormatPrefix, func() Record { return new(SupportedFormat) }},
 		{AccountPrefix, func() Record { return new(Account) }},
+		{MachineTypePartPrefix, func() Record { return new(MachineTypePart) }},
 	}
 	constructorsByKey = map[string]func() Record{
-		LeaderKey:       func() Record { return new(Leader) },
-		TakeoversKey:    func() Record { return new(Takeovers) },
-		MachineTypesKey: func() Record { return new(MachineTypeCache) },
+		LeaderKey:          func() Record { return new(Leader) },
+		TakeoversKey:       func() Record { return new(Takeovers) },
+		MachineTypesKey:    func() Record { return new(MachineTypeCache) },
+		MachineTypeHeadKey: func() Record { return new(MachineTypeHead) },
 	}
 )
 
@@ -112,8 +116,26 @@
 	Machines map[string][]int `msgpack:"h"` // indices into Names, by machine
 }
 
-// MachineTypeCache is the record of the machine types that the cloud offered last. It is used by
-// processes that start while the cloud does not respond.
+// MachineTypeCache is the record of the machine types that the cloud offered last, if they fit a
+// value. Versions before MachineTypeHead know only this record and the field Types. They take it for
+// all types on offer, but cut it to the size of a value when they write it.
 type MachineTypeCache struct {
-	Types []MachineType `msgpack:"r"`
+	Types     []MachineType `msgpack:"r"`
+	Withdrawn []MachineType `msgpack:"w,omitempty"` // no longer offered; machines of these types may still run
+	Whole     bool          `msgpack:"c,omitempty"` // the record holds all types; false: it may lack some
+}
+
+// MachineTypeHead is the record that names the parts of a list of machine types that does not fit a
+// value. It is written after all of them; the list is whole only with all of them. While it exists,
+// no MachineTypeCache is marked as whole.
+type MachineTypeHead struct {
+	Generation string `msgpack:"g"` // in the keys of the parts; never used for another list
+	Parts      int    `msgpack:"n"` // number of parts
+}
+
+// MachineTypePart is a part of a list of machine types. A type with many zones may be in several
+// parts, each with some of the zones.
+type MachineTypePart struct {
+	Offered   []MachineType `msgpack:"r"`
+	Withdrawn []MachineType `msgpack:"w,omitempty"` // no longer offered; machines of these types may still run
 }
--- a/internal/wire/record_test.go
+++ b/internal/wire/record_test.go
@@ -30,6 +30,8 @@
 		LeaderKey:                              &Leader{},
 		TakeoversKey:                           &Takeovers{},
 		MachineTypesKey:                        &MachineTypeCache{},
+		MachineTypeHeadKey:                     &MachineTypeHead{},
+		MachineTypePartKey("412-1", 1):         &MachineTypePart{},
 	} {
 		if got, err := DecodeRecord(key, []byte{0x80}); err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("%s is read as %#v, %v, want %#v", key, got, err, want)
