Answer 422 for want of a machine type only on a fresh listing of the cloud

Cause: rejectReason took the list that the controller had for the cloud's offer. That holds for no list but one that the cloud has just made. PROTOCOL: 422 "can never run", and 503 from a node that cannot yet decide.

Change: a submission that no known type fits waits for a listing that was asked for after it came, and is then accepted or rejected. It gets 503 if the call fails or in 4.5 s. Any controller makes this call itself; all of them together take at most 15% of the cloud's rate for it. Controllers that have had no whole list for 10 s, or own a machine of an unknown type, ask likewise. The log now says which submission was rejected and why, that a controller asks the cloud and how many wait, and once a minute that a machine's type is unknown.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,7 +43,8 @@
 	budget           writeBudget
 	runTimeEstimator runTimeEstimator
 
-	typePublisher *machinetypes.Publisher
+	typePublisher     *machinetypes.Publisher
+	typeConfirmations typeConfirmations
 
 	arrivals arrivalForecast
 
@@ -153,6 +154,7 @@
 	n.removeGoneMachines()
 	n.queryRevision()
 	n.answerStatusQueries()
+	n.confirmMachineTypes()
 	n.expireRequests()
 }
 
--- a/internal/core/job_queries.go
+++ b/internal/core/job_queries.go
@@ -54,6 +54,9 @@
 	case request.spec == nil:
 		n.answerError(request, http.StatusBadRequest, request.rejection)
 	default:
+		n.log(LogInfo, "submission rejected",
+			"job", request.JobID, "reason", request.rejection.Error(),
+			"known_types", n.machineTypes.OfferedCount(), "types_confirmed", n.typesConfirmedFor(request))
 		n.answerError(request, http.StatusUnprocessableEntity, request.rejection)
 	}
 }
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -16,10 +16,14 @@
 func (n *Node) createJob(request *pendingRequest) {
 	spec := request.spec
 	if n.machineTypes.OfferedCount() == 0 {
-		n.answerUnavailable(request, "machine types are not known yet")
+		n.answerUnavailable(request, typesUnknown)
 		return
 	}
-	if err := n.rejectReason(spec); err != nil {
+	switch err := n.rejectReason(spec); {
+	case errors.Is(err, errNoMachineType) && !n.typesConfirmedFor(request):
+		n.awaitTypeConfirmation(request) // the cloud's listing calls createJob again
+		return
+	case err != nil:
 		n.rejectSubmission(request, err)
 		return
 	}
--- a/internal/core/user_requests.go
+++ b/internal/core/user_requests.go
@@ -47,6 +47,8 @@
 	noSuchJob        = "no such job"
 	storeUnavailable = "state service unavailable"
 	notUpgraded      = "not before all controllers have been upgraded"
+	typesUnknown     = "machine types are not known yet"
+	typesUnconfirmed = "no known machine type fits, and the cloud has not listed its types yet"
 )
 
 // pendingRequests holds the user requests that have not been answered.
@@ -61,6 +63,7 @@
 	UserRequest
 	spec            *wire.JobSpec // of a submission; nil if its body is not valid
 	rejection       error         // why a submission is rejected, unless the job already exists
+	receivedAt      Time
 	deadline        Time
 	forwardedToPeer bool
 	awaitedReplica  bool             // it was queued to be answered from the replica; see queueStatusQuery
@@ -95,7 +98,7 @@
 	if r.Kind == wire.RequestStatus {
 		timeout = statusTimeout
 	}
-	request := &pendingRequest{UserRequest: r, deadline: now + timeout}
+	request := &pendingRequest{UserRequest: r, receivedAt: now, deadline: now + timeout}
 	if u.requests == nil {
 		u.requests = map[uint64]*pendingRequest{}
 	}
@@ -193,7 +196,11 @@
 	}
 	n.userRequests.nextExpiryCheckAt = n.now + expiryInterval
 	for _, request := range n.userRequests.overdue(n.now) {
-		n.answerUnavailable(request, "state service is slow")
+		reason := "state service is slow"
+		if slices.Contains(n.typeConfirmations.waiting, request) {
+			reason = typesUnconfirmed
+		}
+		n.answerUnavailable(request, reason)
 	}
 }
 
--- a/internal/core/worker_heartbeat.go
+++ b/internal/core/worker_heartbeat.go
@@ -24,6 +24,9 @@
 	}
 	n.setShard(machine, index)
 	machine.machineType = n.names.MachineTypes.Intern(heartbeat.MachineType)
+	if n.typeAt(machine.machineType) == nil {
+		n.recordUnknownType(machine)
+	}
 	machine.spot = heartbeat.Spot
 	machine.address = heartbeat.Addr
 	// A token above the term was issued under a claim that this replica does not show yet.
