Keep allowed machine types that the accepting controller does not know

What callers saw: nothing at once. A job that allows several types could wait while machines of one of them were idle, as its record did not allow it any more.

Cause: createJob removed from a job's record every type that the controller did not know, to bound the record. With a partial or old list these may be on offer.

Change: names are removed only after a listing of the cloud that was asked for after the submission came. A submission that does not fit its record with the unknown names waits for such a listing.

Failed before: TestUnknownAllowedTypesAreKept (the record allowed only g).

--- a/internal/core/machine_types_test.go
+++ b/internal/core/machine_types_test.go
@@ -149,6 +149,37 @@
 	}
 }
 
+// Guards against jobs that lose allowed machine types because the controller that accepts them does
+// not know these: a name is removed only once the cloud does not list it.
+func TestUnknownAllowedTypesAreKept(t *testing.T) {
+	run := newFollowerRun()
+	run.silent = true
+	run.step(UserRequest{RequestID: 1, Kind: wire.RequestSubmit, Body: submissionFor(t, "wk-000001", 1, "g", "new")})
+	if run.status() != http.StatusCreated || len(run.wrote) != 1 {
+		t.Fatalf("got replies %+v and %d writes", run.replies, len(run.wrote))
+	}
+	if got := run.wrote[0].Value.(*wire.Job).Spec.MachineTypes; !slices.Equal(got, []string{"g", "new"}) {
+		t.Errorf("the record allows %v", got)
+	}
+}
+
+// A submission with more names than a record can hold is accepted without those that are no types.
+func TestManyUnknownAllowedTypesAreRemoved(t *testing.T) {
+	run := newFollowerRun()
+	names := []string{"g"}
+	for i := range 900 {
+		names = append(names, "no-such-type-"+string(rune('a'+i%26)))
+	}
+	run.step(UserRequest{RequestID: 1, Kind: wire.RequestSubmit, Body: submissionFor(t, "wk-000001", 1, names...)})
+	run.wait(second)
+	if run.status() != http.StatusCreated || len(run.wrote) != 1 {
+		t.Fatalf("got replies %+v and %d writes", run.replies, len(run.wrote))
+	}
+	if got := run.wrote[0].Value.(*wire.Job).Spec.MachineTypes; !slices.Equal(got, []string{"g"}) {
+		t.Errorf("the record allows %v", got)
+	}
+}
+
 // Guards against users whose jobs can never run taking the rate of calls that the cloud allows from
 // the leader.
 func TestConfirmationsKeepToTheirShare(t *testing.T) {
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -42,9 +42,10 @@
 			return
 		}
 	}
-	// Machine types that are not offered can't be provisioned. Removing them bounds the size
-	// of the record whatever the user sends.
-	spec.MachineTypes = slices.DeleteFunc(spec.MachineTypes, func(name string) bool { return n.typeAt(n.names.MachineTypes.Find(name)) == nil })
+	if n.typesConfirmedFor(request) {
+		// Machine types that are not known to the cloud either can't be provisioned.
+		spec.MachineTypes = slices.DeleteFunc(spec.MachineTypes, func(name string) bool { return n.typeAt(n.names.MachineTypes.Find(name)) == nil })
+	}
 	record := n.newJobRecord(spec)
 	status := wire.StatusPending
 	if cancelled {
@@ -110,6 +111,11 @@
 	withReference.DependencyList = replica.DependencyListName(nil)
 	withReference.DependencyListKeys = wire.MaxTasks
 	switch {
+	case !n.jobRecordFits(&withReference) && !n.typesConfirmedFor(request):
+		// Names of types that are not on offer take space in the record until they are known
+		// to be none.
+		n.awaitTypeConfirmation(request)
+		return false
 	case !n.jobRecordFits(&withReference):
 		n.rejectSubmission(request, errNamesTooLong)
 		return false
