Accept jobs that allow more machine types than their record can name

What callers saw: 422, "its names are too long to be recorded", for a job that can run, as soon as the names of the types that it allows do not fit its record (8 KiB: about 500 of 16 bytes).

Cause: fitJobRecord can move dependencies to other keys, but not types.

Change: of the allowed types that are on offer and that a task fits, the cheapest are kept, as many as fit the record, and the log says so. The job runs only where its user allows it. It takes a fresh listing first, as names that are no types are removed before.

Failed before: TestJobThatAllowsManyTypesIsAccepted (422).

--- a/internal/core/machine_types_test.go
+++ b/internal/core/machine_types_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -180,6 +181,37 @@
 	}
 }
 
+// Guards against 422 for a job that can run because it allows more machine types than its record can
+// name: the cheapest that its tasks fit are kept.
+func TestJobThatAllowsManyTypesIsAccepted(t *testing.T) {
+	run := newFollowerRun()
+	run.types = nil
+	var names []string
+	for i := range 900 {
+		machineType := typeN
+		machineType.Name, machineType.PricePerHour = fmt.Sprintf("machine-type-%03d", i), float64(1000-i)
+		if i >= 890 {
+			machineType.Cores = 0.5 // no task fits
+		}
+		run.types, names = append(run.types, machineType), append(names, machineType.Name)
+	}
+	run.step(UserRequest{RequestID: 1, Kind: wire.RequestSubmit, Body: submissionFor(t, "wk-000001", 1, names...)})
+	run.wait(second)
+	if run.status() != http.StatusCreated || len(run.wrote) != 1 {
+		t.Fatalf("got replies %+v and %d writes", run.replies, len(run.wrote))
+	}
+	if size, err := wire.JSONSize(run.wrote[0].Value); err != nil || size > run.node.cfg.MaxValueBytes {
+		t.Errorf("the record has %d bytes, error %v", size, err)
+	}
+	kept := run.wrote[0].Value.(*wire.Job).Spec.MachineTypes
+	if len(kept) < 100 || !slices.Contains(kept, "machine-type-889") || slices.Contains(kept, "machine-type-895") || slices.Contains(kept, "machine-type-000") {
+		t.Errorf("%d types are kept: %v", len(kept), kept)
+	}
+	if !slices.Contains(run.logs, "allowed machine types shortened") {
+		t.Error("the log does not say that allowed types were left out")
+	}
+}
+
 // Guards against users whose jobs can never run taking the rate of calls that the cloud allows from
 // the leader.
 func TestConfirmationsKeepToTheirShare(t *testing.T) {
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"slices"
 
 	"micaport/internal/kv"
 	"micaport/internal/replica"
@@ -43,8 +42,7 @@
 		}
 	}
 	if n.typesConfirmedFor(request) {
-		// Machine types that are not known to the cloud either can't be provisioned.
-		spec.MachineTypes = slices.DeleteFunc(spec.MachineTypes, func(name string) bool { return n.typeAt(n.names.MachineTypes.Find(name)) == nil })
+		n.removeUnknownTypes(spec)
 	}
 	record := n.newJobRecord(spec)
 	status := wire.StatusPending
@@ -117,8 +115,11 @@
 		n.awaitTypeConfirmation(request)
 		return false
 	case !n.jobRecordFits(&withReference):
-		n.rejectSubmission(request, errNamesTooLong)
-		return false
+		if !n.shortenAllowedTypes(record, &withReference) {
+			n.rejectSubmission(request, errNamesTooLong)
+			return false
+		}
+		return n.fitJobRecord(request, record)
 	case !n.replica.SupportsDependencyLists():
 		n.answerUnavailable(request, notUpgraded)
 		return false
@@ -161,35 +162,8 @@
 	return nil
 }
 
-// anyTypeFits reports whether a task of a job fits a machine type that the job allows and that is on
-// offer, as far as this controller knows, where the job may run.
-func (s *site) anyTypeFits(spec *wire.JobSpec) bool {
-	for _, machineType := range s.machineTypes.Offered() {
-		if typeAllowed(spec, machineType.Name) && fitsType(spec, machineType) &&
-			(spec.Zone == "" || slices.Contains(machineType.Zones, spec.Zone)) {
-			return true
-		}
-	}
-	return false
-}
-
 // epsilon is the tolerance for rounding errors in comparisons of resource amounts.
 const epsilon = 1e-6
 
 // exceeds reports whether an amount is above a limit; 0 means no limit.
 func exceeds(amount, limit float64) bool { return limit > 0 && amount > limit+epsilon }
-
-// typeAllowed reports whether a job's specification allows a machine type.
-func typeAllowed(spec *wire.JobSpec, machineType string) bool {
-	if spec.NoMachineTypes {
-		return false
-	}
-	return len(spec.MachineTypes) == 0 || slices.Contains(spec.MachineTypes, machineType)
-}
-
-// fitsType reports whether a task of a job fits on an empty machine of a type.
-func fitsType(spec *wire.JobSpec, machineType *wire.MachineType) bool {
-	return spec.Cores <= machineType.Cores+epsilon &&
-		spec.GPUs <= machineType.GPUs+epsilon &&
-		spec.MemoryGB <= machineType.MemoryGB+epsilon
-}
