Return idle machines of a type that nobody knows

What callers saw: nothing; the owner of the site pays for the machine for ever.

Cause: a machine is idle if its slot is, and a machine whose type the leader does not know has no slot. Types that the cloud had stopped offering were forgotten when controllers ended, so that nothing was placed on their machines, and they were never returned.

Change: a machine without tasks and of an unknown type is drained after the idle time, once the leader has had a whole list.

TestIdleMachineOfUnknownTypeIsDrained fails without it (run with the function made empty: nothing is marked).

--- a/internal/core/autoscaler_scale_in.go
+++ b/internal/core/autoscaler_scale_in.go
@@ -27,6 +27,7 @@
 	scaler.nextScaleInAt = n.now + scaleInInterval
 	scaler.drainIdle(site, pass.available.all, idle)
 	scaler.drainUnhealthy(site)
+	scaler.drainUnknownTypes(site)
 	if scaler.deprovisionInProgress || n.now < scaler.nextDeprovisionAt || n.cloudCallTime() == 0 {
 		return
 	}
@@ -66,6 +67,31 @@
 	}
 }
 
+// drainUnknownTypes marks machines without tasks for draining whose type is not known although a
+// list of all types is: the capacity of such a machine is unknown, so that nothing is placed on it.
+func (a *autoscaler) drainUnknownTypes(site *site) {
+	if !site.machineTypes.Complete() {
+		return
+	}
+	for _, shard := range site.shards {
+		for _, machine := range shard.machines {
+			if machine.deprovisioned || !machine.view.reportedByOwner || machine.machineType < 0 || site.typeAt(machine.machineType) != nil {
+				continue
+			}
+			if len(machine.placements) > 0 {
+				delete(a.idleSince, machine.name)
+				continue
+			}
+			if _, seen := a.idleSince[machine.name]; !seen {
+				a.idleSince[machine.name] = site.now
+			}
+			if site.now-a.idleSince[machine.name] > site.cfg.IdleTimeout {
+				a.markedForDraining[machine.name] = true
+			}
+		}
+	}
+}
+
 // drainUnhealthy marks machines for draining that are unreachable, or unhealthy and without tasks.
 // It unmarks other machines that have tasks and are not being drained yet.
 func (a *autoscaler) drainUnhealthy(site *site) {
--- a/internal/core/machine_types_test.go
+++ b/internal/core/machine_types_test.go
@@ -252,6 +252,28 @@
 	}
 }
 
+// Guards against machines that are paid for without use for ever: one of a type that nobody knows
+// gets no work, so it never counted as idle.
+func TestIdleMachineOfUnknownTypeIsDrained(t *testing.T) {
+	n := newTestNodeWith(func(cfg *Config) { cfg.IdleTimeout = 40 * second })
+	scaler := newAutoscaler()
+	for name, machineType := range map[string]string{"vm-known": "g", "vm-unknown": "lost", "vm-busy": "lost"} {
+		machine := n.getOrAddMachine(name)
+		machine.machineType, machine.view.reportedByOwner = n.names.MachineTypes.Intern(machineType), true
+		if name == "vm-busy" {
+			machine.placements = []placement{{}}
+		}
+		n.setShard(machine, 0)
+	}
+	for range 42 {
+		n.now += second
+		scaler.drainUnknownTypes(&n.site)
+	}
+	if len(scaler.markedForDraining) != 1 || !scaler.markedForDraining["vm-unknown"] {
+		t.Errorf("marked for draining: %v, want vm-unknown", scaler.markedForDraining)
+	}
+}
+
 // The log says why an owner places nothing on a machine whose type it does not know, and the owner
 // asks the cloud for the types.
 func TestMachineOfUnknownTypeIsLoggedAndAskedFor(t *testing.T) {
