limits apply: check guarantees against a whole list of machine types only

Cause: the command took the record m/types for all types.

Change: it reads the list in whichever form it is stored. Without a whole one the capacity is unknown and not checked, as before without any; while the leader stores another list it says so and changes nothing.

--- a/internal/quotactl/apply.go
+++ b/internal/quotactl/apply.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	machineTypes, err := records.List(ctx, wire.MachineTypesKey)
+	machineTypes, err := offeredTypes(ctx, records)
 	if err != nil {
 		return err
 	}
--- a/internal/quotactl/quotactl_test.go
+++ b/internal/quotactl/quotactl_test.go
@@ -57,7 +57,9 @@
 	for _, label := range []string{"n0", "n1"} {
 		records.write(wire.FormatPrefix+label, &wire.SupportedFormat{Format: wire.FormatTeamAccounts})
 	}
-	records.write(wire.MachineTypesKey, &wire.MachineTypeCache{Types: []wire.MachineType{{Name: "g2", Cores: 16, GPUs: 2}}})
+	records.write(wire.MachineTypePartKey("7-1", 1), &wire.MachineTypePart{Offered: []wire.MachineType{{Name: "g1", Cores: 8, GPUs: 1}}})
+	records.write(wire.MachineTypePartKey("7-1", 2), &wire.MachineTypePart{Offered: []wire.MachineType{{Name: "g2", Cores: 16, GPUs: 2}}})
+	records.write(wire.MachineTypeHeadKey, &wire.MachineTypeHead{Generation: "7-1", Parts: 2})
 	return records, &Site{
 		Shards: ownership.ShardIDs([]string{"a", "b"}, []ownership.Member{{Name: "n0", Zone: "a"}, {Name: "n1", Zone: "b"}}), Controllers: []string{"n0", "n1"},
 		Teams: []config.Team{{Name: "red", GuaranteedGPUs: 4, MaxGPUs: 8}, {Name: "blue", GuaranteedGPUs: 4, MaxGPUs: 8}}, MaxTransactionOps: 4, MaxMachines: 6,
@@ -70,8 +72,8 @@
 func TestChangesAreMadeTogetherOrNotAtAll(t *testing.T) {
 	records, site := newSite()
 	changes := []quota.Change{{Team: "red", GPUsLimit: pointerTo(12)}, {Team: "blue", GPUsLimit: pointerTo(6)}}
-	if err := Apply(t.Context(), records, site, changes, true); err != nil || len(records.records) != 3 {
-		t.Fatalf("check: got error %v and %d records, want 3", err, len(records.records))
+	if err := Apply(t.Context(), records, site, changes, true); err != nil || len(records.records) != 5 {
+		t.Fatalf("check: got error %v and %d records, want 5", err, len(records.records))
 	}
 	if err := Apply(t.Context(), records, site, changes, false); err != nil {
 		t.Fatal(err)
@@ -122,6 +124,43 @@
 	}
 }
 
+// Guards against a capacity that is taken from a list of machine types which may lack some: a change
+// was refused although the largest type, cut off the list, has the capacity.
+func TestCapacityIsCheckedAgainstAWholeList(t *testing.T) {
+	small, large := []wire.MachineType{{Name: "g1", Cores: 8, GPUs: 1}}, []wire.MachineType{{Name: "g2", Cores: 16, GPUs: 2}}
+	for name, test := range map[string]struct {
+		record *wire.MachineTypeCache // nil: absent
+		head   *wire.MachineTypeHead  // nil: absent
+		want   error
+	}{
+		"a record that is whole":                {&wire.MachineTypeCache{Types: small, Whole: true}, nil, quota.ErrExceedsCapacity},
+		"a record that may be cut":              {&wire.MachineTypeCache{Types: small}, nil, nil},
+		"no record":                             {nil, nil, nil},
+		"a whole list beside a cut record":      {&wire.MachineTypeCache{Types: small}, &wire.MachineTypeHead{Generation: "7-1", Parts: 2}, nil},
+		"a list of which a part is missing":     {nil, &wire.MachineTypeHead{Generation: "7-1", Parts: 3}, errTypesIncomplete},
+		"a list of another generation":          {nil, &wire.MachineTypeHead{Generation: "8-1", Parts: 2}, errTypesIncomplete},
+		"a whole list that lacks the large one": {nil, &wire.MachineTypeHead{Generation: "7-1", Parts: 1}, quota.ErrExceedsCapacity},
+	} {
+		t.Run(name, func(t *testing.T) {
+			records, site := newSite()
+			delete(records.records, wire.MachineTypeHeadKey)
+			records.write(wire.MachineTypePartKey("7-1", 1), &wire.MachineTypePart{Offered: small})
+			records.write(wire.MachineTypePartKey("7-1", 2), &wire.MachineTypePart{Offered: large})
+			if test.record != nil {
+				records.write(wire.MachineTypesKey, test.record)
+			}
+			if test.head != nil {
+				records.write(wire.MachineTypeHeadKey, test.head)
+			}
+			// 12 GPUs are guaranteed of 6 machines' 12, or 6 if only the small type is known.
+			change := quota.Change{Team: "red", GPUsGuarantee: pointerTo(8)}
+			if err := Apply(t.Context(), records, site, []quota.Change{change}, true); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
 func TestInvalidAccountIsShownAndRepaired(t *testing.T) {
 	records, site := newSite()
 	records.write(wire.AccountKey("red"), &wire.Account{Unreadable: true})
--- a/internal/quotactl/site.go
+++ b/internal/quotactl/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"micaport/internal/config"
 	"micaport/internal/kv"
+	"micaport/internal/machinetypes"
 	"micaport/internal/ownership"
 	"micaport/internal/quota"
 	"micaport/internal/wire"
@@ -61,17 +63,42 @@
 	return nil
 }
 
+// errTypesIncomplete is returned while the leader is storing another list of machine types.
+var errTypesIncomplete = errors.New("the stored machine types are being changed, try again")
+
+// offeredTypes returns the machine types on offer, or none if no list is stored that is known to be
+// whole. The error is errTypesIncomplete, or that of records.
+func offeredTypes(ctx context.Context, records Records) ([]wire.MachineType, error) {
+	stored := map[string]kv.Event{}
+	for _, prefix := range []string{wire.MachineTypeHeadKey, wire.MachineTypesKey, wire.MachineTypePartPrefix} {
+		found, err := records.List(ctx, prefix)
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(stored, found)
+	}
+	head, _ := stored[wire.MachineTypeHeadKey].Value.(*wire.MachineTypeHead)
+	record, _ := stored[wire.MachineTypesKey].Value.(*wire.MachineTypeCache)
+	list, whole := machinetypes.Find(head, record, func(key string) *wire.MachineTypePart {
+		part, _ := stored[key].Value.(*wire.MachineTypePart)
+		return part
+	})
+	if head != nil && !whole {
+		return nil, errTypesIncomplete
+	}
+	return list.Offered, nil
+}
+
 // checkCapacity returns quota.ErrExceedsCapacity if the sum of all guarantees exceeds the capacity
 // of the maximum number of machines. It returns nil if the operators do not limit the number of
-// machines or the leader has not recorded the machine types yet.
-func (s *Site) checkCapacity(accounts map[string]*wire.Account, stored map[string]kv.Event) error {
-	machineTypes, ok := stored[wire.MachineTypesKey].Value.(*wire.MachineTypeCache)
-	if !ok || s.MaxMachines == 0 {
+// machines or the leader has not stored the machine types yet.
+func (s *Site) checkCapacity(accounts map[string]*wire.Account, machineTypes []wire.MachineType) error {
+	if len(machineTypes) == 0 || s.MaxMachines == 0 {
 		return nil
 	}
 	var capacity, guaranteed wire.Resources
-	for i := range machineTypes.Types {
-		machineType := &machineTypes.Types[i]
+	for i := range machineTypes {
+		machineType := &machineTypes[i]
 		capacity.Cores = max(capacity.Cores, machineType.Cores*float64(s.MaxMachines))
 		capacity.GPUs = max(capacity.GPUs, machineType.GPUs*float64(s.MaxMachines))
 	}
