Machine types: store the list also where a limit falls unannounced

Found by the model test once it draws settings that differ between controllers: beside a list over several keys the record of earlier versions was written up to the announced limit again and again, every 2 s, if the state service allowed less. A refusal now lowers the size up to which it is written.

--- a/internal/machinetypes/publisher.go
+++ b/internal/machinetypes/publisher.go
@@ -117,7 +117,7 @@
 	if outcome != kv.TooLarge {
 		return
 	}
-	if record, isRecord := transaction.Writes[0].Value.(*wire.MachineTypeCache); isRecord && !record.Whole {
+	if record, isRecord := transaction.Writes[0].Value.(*wire.MachineTypeCache); isRecord && !record.Whole && !p.currentRefused {
 		p.currentRefused = true
 		return
 	}
@@ -198,12 +198,8 @@
 // add adds the write of a key on the condition that it has a revision; 0: that it is absent. Without
 // a value the key is deleted.
 func (t *Transaction) add(key string, revision uint64, value wire.Record) {
-	write := kv.Write{Key: key}
-	if value != nil {
-		write.Value = value
-	}
 	t.Conditions = append(t.Conditions, kv.Condition{Key: key, Revision: revision})
-	t.Writes = append(t.Writes, write)
+	t.Writes = append(t.Writes, kv.Write{Key: key, Value: value})
 }
 
 // planDeletions returns a transaction that deletes parts which no head names, or nil if there are
@@ -240,8 +236,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("machine types: %w", err)
 	}
+	limit := p.partBytes
+	if !p.upgraded && !p.currentRefused {
+		limit = max(limit, p.limits.CurrentValueBytes)
+	}
 	switch {
-	case size <= p.limits.ValueBytes, !p.upgraded && size <= p.limits.CurrentValueBytes && !p.currentRefused:
+	case size <= limit:
 		return newTransaction(wire.MachineTypesKey, stored.recordRevision, record), nil
 	case stored.record != nil:
 		return newTransaction(wire.MachineTypesKey, stored.recordRevision, nil), nil
