Keep machines draining that a cut list of a mailbox does not name

What callers saw: nothing certain; by reading. While a controller can be reached only through the state service, the leader's list of machines to drain is cut to 20 names. Its owner took the list for whole and stopped draining the others, so that it could place tasks on machines that the leader, which still saw them as draining and empty, was deprovisioning.

Change: the message says that the list was cut, and then nothing stops draining.

--- a/internal/core/leader_instructions.go
+++ b/internal/core/leader_instructions.go
@@ -18,7 +18,7 @@
 		}
 	}
 	n.receiveReservations(message.Kept)
-	n.updateDrainingMachines(message.Retire)
+	n.updateDrainingMachines(message.Retire, message.RetireCut)
 }
 
 // reservations holds the machines that the leader reserves for gangs.
@@ -51,8 +51,9 @@
 }
 
 // updateDrainingMachines starts to drain those of this controller's machines that the leader wants
-// to deprovision and that are empty, and stops draining those that it no longer lists.
-func (n *Node) updateDrainingMachines(names []string) {
+// to deprovision and that are empty. It stops draining those that the leader no longer lists, unless
+// the list has been cut.
+func (n *Node) updateDrainingMachines(names []string, cut bool) {
 	asked := make(map[string]bool, len(names))
 	for _, name := range names {
 		asked[name] = true
@@ -64,7 +65,7 @@
 		machine := n.machines[index]
 		// A leader that was replaced early may still deprovision the machines that it had asked
 		// to drain, until the cloud fence has ended.
-		if machine.draining && !asked[machine.name] && n.now >= n.failover.cloudFenceEndsAt(n.cfg.LeaderLease) {
+		if machine.draining && !cut && !asked[machine.name] && n.now >= n.failover.cloudFenceEndsAt(n.cfg.LeaderLease) {
 			machine.draining = false
 		}
 		return !machine.draining || machine.deprovisioned
--- a/internal/core/mailbox.go
+++ b/internal/core/mailbox.go
@@ -75,8 +75,10 @@
 	// partitioned from each other but reach the state service would otherwise replace each
 	// other as the leader in turns.
 	message.Leader = nil
+	drained := len(message.Retire)
 	message.Returned = message.Returned[max(0, len(message.Returned)-maxMailboxNames):]
 	message.Retire = message.Retire[:min(len(message.Retire), maxMailboxNames)]
+	message.RetireCut = len(message.Retire) < drained
 	message.Strays = message.Strays[:min(len(message.Strays), maxMailboxNames)]
 	// The names and the other fields use well below a quarter of the size limit.
 	value := n.withViewChanges(message, base, max(1, n.cfg.MaxValueBytes*5/8/mailboxViewBytes))
@@ -85,6 +87,7 @@
 		count /= 2
 		message.Returned = message.Returned[:len(message.Returned)/2]
 		message.Retire = message.Retire[:len(message.Retire)/2]
+		message.RetireCut = len(message.Retire) < drained
 		message.Strays = message.Strays[:len(message.Strays)/2]
 		message.Kept, message.Holds = message.Kept[:min(len(message.Kept), maxMailboxListEntries*count)], message.Holds[:min(len(message.Holds), maxMailboxListEntries*count)]
 		value = n.withViewChanges(message, base, count)
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -37,6 +37,9 @@
 	Returned []string               // of the leader: machines whose deprovisioning the cloud has confirmed
 	Strays   []string               // machines of other owners that sent heartbeats to the sender and whose owners miss them
 	Leader   *LeaderView            // nil from versions before format 5
+	// RetireCut is set if Retire has been shortened. Machines that it does not name may be drained
+	// all the same.
+	RetireCut bool
 }
 
 // MachineInfo is the state of a machine as seen by the owner of its shard. Rig, Zone and Images are
