Write the record of cached images until it is stored

Cause: the write counted as made whatever its outcome, so that after a refusal the record stayed behind until the number of images changed. New processes read it; a missing image costs a fetch.

--- a/internal/core/image_cache.go
+++ b/internal/core/image_cache.go
@@ -84,7 +84,19 @@
 	for i := range builder.names.Len() {
 		builder.record.Names = append(builder.record.Names, builder.names.Name(i))
 	}
-	n.transact(ClassBackground, nil, []kv.Write{{Key: wire.ImagePrefix + n.cfg.Self, Value: builder.record}}, ignoreResult{})
+	n.transact(ClassBackground, nil, []kv.Write{{Key: wire.ImagePrefix + n.cfg.Self, Value: builder.record}}, imageCacheWrite{})
+}
+
+// unknownImageCount is the recorded image count while it is not known what is recorded.
+const unknownImageCount = -1
+
+// imageCacheWrite is the write of this controller's image cache record in progress.
+type imageCacheWrite struct{}
+
+func (imageCacheWrite) committed(n *Node, result Committed) {
+	if result.Outcome != kv.OK {
+		n.recordedImageCount = unknownImageCount // write it again
+	}
 }
 
 // putImageCache adds the images in an image cache record to their machines.
--- a/internal/core/owner_state.go
+++ b/internal/core/owner_state.go
@@ -14,7 +14,7 @@
 	nextAdmissionAt       Time // when the next admission of work without the leader is due
 	nextCleanupAt         Time // when the next removal of machines that are gone is due
 	nextImageCacheWriteAt Time // when the next write of the image cache record is due
-	recordedImageCount    int  // sum of the machines' image counts in that record as last written
+	recordedImageCount    int  // sum of the machines' image counts in that record as last written, or unknownImageCount
 }
 
 func newOwnerState() ownerState {
