--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -10,37 +10,18 @@
 )
 
 // createJob checks that a submitted job can ever run, and writes its record. It is called again
-// whenever the state service has completed a step that createJob needs first: reading the records of
-// the job's dependencies, or writing a dependency list that does not fit the job's record.
+// whenever a step that createJob needs first is complete: a listing of the machine types by the cloud,
+// reading the records of the job's dependencies, or writing a dependency list that does not fit the
+// job's record.
 func (n *Node) createJob(request *pendingRequest) {
 	spec := request.spec
-	if n.machineTypes.OfferedCount() == 0 {
-		n.answerUnavailable(request, typesUnknown)
+	if !n.canEverRun(request) {
 		return
 	}
-	switch err := n.rejectReason(spec); {
-	case errors.Is(err, errNoMachineType) && !n.typesConfirmedFor(request):
-		n.awaitTypeConfirmation(request) // the cloud's listing calls createJob again
-		return
-	case err != nil:
-		n.rejectSubmission(request, err)
+	cancelled, resolved := n.resolveSubmission(request)
+	if !resolved {
 		return
 	}
-	cancelled := false
-	if len(spec.Dependencies) > 0 {
-		if !n.replica.SupportsDependencies() {
-			n.answerUnavailable(request, notUpgraded)
-			return
-		}
-		if !n.loadDependencies(request) {
-			return // dependencyRead calls createJob again
-		}
-		var err error
-		if cancelled, err = n.resolveDependencies(request); err != nil {
-			n.rejectSubmission(request, err)
-			return
-		}
-	}
 	if n.typesConfirmedFor(request) {
 		n.removeUnknownTypes(spec)
 	}
@@ -51,12 +32,51 @@
 		record.State, status = wire.JobCancelled, wire.StatusCancelled
 		replica.CompactRecord(record)
 	} else if !n.fitJobRecord(request, record) {
-		return // answered, or dependencyListWrite calls createJob again
+		return // answered, or dependencyListWrite or the cloud's listing calls createJob again
 	}
 	key := wire.JobKey(spec.ID)
 	n.transact(ClassUser, []kv.Condition{{Key: key, Revision: 0}}, []kv.Write{{Key: key, Value: record}}, jobSubmission{request, status})
 }
 
+// canEverRun reports whether a submitted job can run as far as this controller knows. If not, the
+// request has been answered, or waits for the cloud's listing of the machine types.
+func (n *Node) canEverRun(request *pendingRequest) bool {
+	if n.machineTypes.OfferedCount() == 0 {
+		n.answerUnavailable(request, typesUnknown)
+		return false
+	}
+	reason := n.rejectReason(request.spec)
+	switch {
+	case errors.Is(reason, errNoMachineType) && !n.typesConfirmedFor(request):
+		n.awaitTypeConfirmation(request)
+	case reason != nil:
+		n.rejectSubmission(request, reason)
+	}
+	return reason == nil
+}
+
+// resolveSubmission resolves the dependencies of a submitted job, if it has any. It reports whether
+// one of them has been cancelled, and whether all are resolved; if not, the request has been answered,
+// or dependencyRead calls createJob again.
+func (n *Node) resolveSubmission(request *pendingRequest) (cancelled, resolved bool) {
+	if len(request.spec.Dependencies) == 0 {
+		return false, true
+	}
+	if !n.replica.SupportsDependencies() {
+		n.answerUnavailable(request, notUpgraded)
+		return false, false
+	}
+	if !n.loadDependencies(request) {
+		return false, false
+	}
+	cancelled, err := n.resolveDependencies(request)
+	if err != nil {
+		n.rejectSubmission(request, err)
+		return false, false
+	}
+	return cancelled, true
+}
+
 // rejectSubmission rejects a submission that can never be accepted. It reads the job's record
 // first: if the job exists, the answer is the job's status instead.
 func (n *Node) rejectSubmission(request *pendingRequest, err error) {
--- a/internal/machinetypes/publisher.go
+++ b/internal/machinetypes/publisher.go
@@ -37,7 +37,7 @@
 }
 
 // Publisher stores the leader's list of machine types in the state service, one transaction after
-// the other. What it writes next follows from the catalog alone, so that it goes on after any
+// the other. What it writes next follows from the catalog alone, so that it continues after any
 // outcome: a list that differs from the stored one is written until the watch shows it.
 type Publisher struct {
 	catalog   *Catalog
